Reread the configuration on SIGHUP and follow the bus to its new address

Checked: the exit code is SIGHUP's default; the bus's silence was noticed after 2.5 to 3.75 s, by the code (a check each 1.25 s), where 4 s is the limit, and a refused dial was repeated up to 1 s later where 2 s is the limit. Now: SIGHUP rereads the file, BusFront.move dials the new bus from the same offset, a bad file is logged and passed over; silence is noticed within 2 s, and the bus is dialled again every 0.2 s at the latest.

--- a/ospreyvale/program/app.py
+++ b/ospreyvale/program/app.py
@@ -51,7 +51,9 @@
 class App:
     """One session controller."""
 
-    def __init__(self, config: Config, edge: Edge, network: Edges, log: Logger) -> None:
+    def __init__(self, config: Config, edge: Edge, network: Edges, log: Logger,
+                 reread: Callable[[], Config]) -> None:
+        self.reread = reread
         self.config, self.loop, self.log = config, network.loop, log
         loop = network.loop
         self.core = Core(loop, config.settings, config.drain_grace_ms, log)
@@ -89,9 +91,26 @@
             self.log("stopping", unanswered=self.core.context.table.unanswered)
             self.loop.at(self.loop.now + LINGER_MS, self._end_when_answered)
 
+    def reload(self) -> None:
+        """SIGHUP: the file may name another bus; a bad file is logged, and what was told before holds.
+
+        All else that it may change (limits, settings, what is known) is read at the next start.
+        """
+        try:
+            config = self.reread()
+        except (ConfigError, OSError) as error:
+            self.counters["reloads_refused"] += 1
+            self.log("reload_refused", why=str(error))
+            return
+        self.counters["reloads"] += 1
+        self.log("reloaded", bus=f"{config.bus[0]}:{config.bus[1]}")
+        self.bus.move(config.bus)
+
     def on_signal(self, number: int) -> None:
         if number == signal.SIGUSR1:
             self.report()
+        elif number == signal.SIGHUP:
+            self.reload()
         else:
             self.stop()
 
@@ -132,7 +151,7 @@
         self.inside, self.outside = socket.socketpair()
         for end in (self.inside, self.outside):
             end.setblocking(False)
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
             signal.signal(number, lambda *_: None)
         signal.set_wakeup_fd(self.outside.fileno(), warn_on_full_buffer=False)
         loop.watch(self.inside.fileno(), READ, self._taken)
@@ -150,14 +169,15 @@
 def main() -> int:
     """Run until SIGTERM; 2, with one line, where the configuration is wrong."""
     try:
-        config = read_config(dict(os.environ))
+        environment = dict(os.environ)
+        config = read_config(environment)
         # What the platform grants is what we see, so that running out is met as EMFILE, not as a breach.
         most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
         granted = config.sockets if most == resource.RLIM_INFINITY else min(config.sockets, most)
         resource.setrlimit(resource.RLIMIT_NOFILE, (granted, most))
         loop = Loop()
         log = EventLog(loop.clock, config.name)
-        app = App(config, read_edge(EDGE), Network(loop), log)
+        app = App(config, read_edge(EDGE), Network(loop), log, lambda: read_config(environment))
     except (ConfigError, OSError) as error:
         print(f"ospreyvale: {error}", file=sys.stderr)
         return 2
--- a/ospreyvale/program/bus.py
+++ b/ospreyvale/program/bus.py
@@ -11,7 +11,11 @@
 from ospreyvale.transport.network import Address, Dialer, Link
 from ospreyvale.transport.pool import Peer
 
-SILENT_MS = 2_500.0  # an empty frame comes each second; a bus silent for so long is dialled anew
+# An empty frame comes each second: a bus silent for so long is dialled anew, well before what it had to tell
+# counts as told (4 s after it stopped).  A lost one is dialled often, as that counts 2 s after the break.
+SILENT_MS = 1_800.0
+CHECK_MS = 200.0
+LONGEST_PAUSE_MS = 200.0
 
 
 class BusFront:
@@ -19,19 +23,27 @@
 
     def __init__(self, dialer: Dialer, address: Address, timeout_ms: float, offset: int,
                  take: Callable[[eventbus.Event], None], log: Log) -> None:
-        self.loop, self.offset, self.take, self.log = dialer.loop, offset, take, log
-        self.heard_at = 0.0
+        self.dialer, self.loop, self.timeout_ms = dialer, dialer.loop, timeout_ms
+        self.offset, self.take, self.log = offset, take, log
+        self.peer = self._peer(address)
+
+    def move(self, address: Address) -> None:
+        """The bus is elsewhere now: leave the old one at once and go on from the last event there."""
+        if address != self.peer.address:
+            self.peer.end()
+            self.peer = self._peer(address)
+
+    def _peer(self, address: Address) -> Peer:
         # Urgent: of what one turn brings, a drain is read before the set-ups that it forbids.
-        self.peer = Peer(dialer, address, timeout_ms, self._serve, lambda: log("bus_unreachable"),
-                         urgent=True)
+        return Peer(self.dialer, address, self.timeout_ms, self._serve, lambda: self.log("bus_unreachable"),
+                    urgent=True, longest_pause_ms=LONGEST_PAUSE_MS)
 
     def _serve(self, link: Link) -> Coroutine:
-        reader = eventbus.Reader()
+        reader, heard = eventbus.Reader(), [self.loop.now]
         link.send(eventbus.subscribe(self.offset))
-        self.heard_at = self.loop.now
-        self._watch(link)
+        self._watch(link, heard)
         while data := (yield from link.receive()):
-            self.heard_at = self.loop.now
+            heard[0] = self.loop.now
             try:
                 for event in reader.feed(data):
                     self._take(event)
@@ -44,12 +56,12 @@
             self.offset = event.offset
             self.take(event)
 
-    def _watch(self, link: Link) -> None:
+    def _watch(self, link: Link, heard: list[float]) -> None:
         """Guards against a connection that is open and says nothing, as one to a lost machine is."""
         if link.closed:
             return
-        if self.loop.now > self.heard_at + SILENT_MS:
+        if self.loop.now > heard[0] + SILENT_MS:
             self.log("bus_silent")
             link.close()
         else:
-            self.loop.at(self.loop.now + SILENT_MS / 2.0, lambda: self._watch(link))
+            self.loop.at(self.loop.now + CHECK_MS, lambda: self._watch(link, heard))
--- a/ospreyvale/transport/pool.py
+++ b/ospreyvale/transport/pool.py
@@ -15,9 +15,10 @@
 
     def __init__(self, dialer: Dialer, address: Address, timeout_ms: float,
                  serve: Callable[[Link], Coroutine], failed: Callable[[], None],
-                 urgent: bool = False) -> None:
+                 urgent: bool = False, longest_pause_ms: float = LONGEST_PAUSE_MS) -> None:
         self.dialer, self.address, self.timeout_ms = dialer, address, timeout_ms
         self.serve, self.failed, self.urgent = serve, failed, urgent
+        self.longest_pause_ms = longest_pause_ms
         self.link: Link | None = None
         self.ended = self.dialling = False
         self._wanted = Signal()
@@ -44,7 +45,7 @@
                 self.failed()
                 if not self.ended:
                     yield from self.dialer.loop.sleep(pause, self._wanted)
-                pause = min(2.0 * pause, LONGEST_PAUSE_MS)
+                pause = min(2.0 * pause, self.longest_pause_ms)
                 continue
             if self.ended:
                 link.close()
--- a/tests/player.py
+++ b/tests/player.py
@@ -10,6 +10,7 @@
     end NAME               the peer ends its side        reset NAME       the connection is reset
     gone NAME              the program closed it         quiet            nothing unread was sent anywhere
     after MS               time passes                   count NAME N     a counter of the program
+    reload JSON            SIGHUP, with a file that now says so on top of what it said before
 
 BYTES are Python bytes literals, as many as the line and the indented ones after it hold; SIP(...) adds the
 length to a SIP message, M(...) frames one of the platform's, U(...) an M3UA message and D(...) ISUP in DATA.
@@ -19,6 +20,8 @@
 
 from __future__ import annotations
 
+import json
+import signal
 import struct
 import tomllib
 from collections.abc import Callable, Generator
@@ -166,11 +169,12 @@
         self.network, self.log = MemoryNetwork(self.loop), Events()
         self.edge = edge
         self.app: App | None = None
+        self.changes: dict[str, Any] = {}
 
     def start(self) -> App:
         if self.app is None:
             self.app = App(config_from(CONFIG), edge_from(tomllib.loads(self.edge), "edge"),
-                           self.network, self.log)
+                           self.network, self.log, lambda: config_from({**CONFIG, **self.changes}))
             self.loop.on_fault = None  # a fault fails the test
         return self.app
 
@@ -206,6 +210,9 @@
         elif word == "quiet":
             said = {name: bytes(link.sent) for name, link in links.items() if link.sent and not link.closed}
             assert not said, f"sent without being asked: {said}"
+        elif word == "reload":
+            self.changes = json.loads(rest)
+            app.on_signal(signal.SIGHUP)
         elif word == "after":
             self.after(float(rest))
         elif word == "count":
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -85,7 +85,8 @@
         "known": {"offset": 1, "batch": [{"offset": 1, "topology": {"all": True, "targets": targets}}]}}
     edge = {"m3ua": {"listen": text(m3ua), "circuits": 40, "exchange": [
         {"number": 20, "address": text(old), "point_code": 20, "circuits": 30}]}}
-    app = App(config_from(config), edge_from(edge, "edge"), network, Events())
+    app = App(config_from(config), edge_from(edge, "edge"), network, Events(),
+              lambda: config_from(config))
     loop.on_fault = None
     sip, peer = SipCaller(network, listen, journal), M3uaCaller(network, m3ua, journal, 9)
     assert until(loop, lambda: sip.link is not None and peer.active, 1_000.0)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -95,11 +95,13 @@
         os.kill(os.getpid(), signal.SIGUSR1)
         assert [fd for fd, _ in poller.poll(1.0)] == [signals.inside.fileno()]
         signals._taken(0)
-        assert taken == [signal.SIGUSR1]
+        os.kill(os.getpid(), signal.SIGHUP)  # without a handler it ended the program
+        signals._taken(0)
+        assert taken == [signal.SIGUSR1, signal.SIGHUP]
         assert poller.poll(0.0) == []
     finally:
         signals.close()
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
             signal.signal(number, signal.SIG_DFL)
 
 
