Hold the set-up rate at the learned one, and measure delays by half the shortest aim

Checked by a trace of the module's measures: its rate hold was on almost all the time while its own processor showed delays of 0 to 20 ms; single spikes over 126 ms cut the learned rate to the rate just held, which ratcheted it down (BAND, scale).

--- a/ospreyvale/routing/control.py
+++ b/ospreyvale/routing/control.py
@@ -13,7 +13,7 @@
 
 from ospreyvale.routing import interface as i
 
-BAND = (0.70, 0.90)  # share of the learned set-up rate: the paper's band for a processor
+BAND = (0.85, 1.0)  # share of the learned set-up rate; the paper's band held while the processor was idle
 COUNT_BAND = (0.95, 1.0)  # share of the own groups' circuits: never below them, so all may be used
 DELAY_BAND = (0.4, 0.9)  # set-up delay toward an exchange, as a share of the time to its first repeat
 FLOOR_SAMPLES, FLOOR_MOST_MS = 4, 100.0  # the path's own delay: least of so many measured, at most this
@@ -110,7 +110,8 @@
         self.tolerance = tuple(math.sqrt(max(v, LEAST_VALUE * least) / least) for v in self.value)
         crowd = max(1.0, settings.instances / PROBERS)
         self.round, self.recheck = ROUND_MS * crowd, RECHECK_MS * crowd
-        self.scale = settings.resend_ms or min(c.aim_ms for c in settings.classes) / 3.0
+        # Half the shortest aim: a third closed ends for queues that no call would have missed its aim in.
+        self.scale = settings.resend_ms or min(c.aim_ms for c in settings.classes) / 2.0
         self.far: dict[int, Far] = {}
         self.own = Far(settings.here, self.tolerance)
         self.roster: dict[i.Address, i.Exchange] = {}
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -600,3 +600,17 @@
     looked.clear()
     mesh.beat(10.0)
     assert sorted(looked) == [1, 2]
+
+
+def test_a_rate_near_the_learned_one_and_a_delay_within_the_aim_hold_nothing() -> None:
+    """Held from 90% of the learned rate and a third of the aim on, an idle processor refused calls."""
+    mesh = Mesh(resend_ms=0.0)  # thresholds then follow the shortest aim, 800 ms
+    mesh.control.learned, mesh.control.rate = 100.0, 95.0
+    mesh.control.rate_hold.update(95.0, 100.0)
+    far = mesh.control.far[1]
+    mesh.control._measured(mesh.now, far, 300.0)
+    assert not far.hold.on[0] and sent_to(mesh.call(1)) == [1]
+    mesh.control._measured(mesh.now, far, 370.0)
+    assert far.hold.on[0]
+    mesh.control.rate_hold.update(101.0, 100.0)
+    assert mesh.control.rate_hold.on[0]
