Forget exchanges that are gone, pass an address on at once, and guard M3UA the same way

Seen, in the code: Roster.update and Control.roster kept a line for each id ever told, and Control.busy each number that was never called again; a new id at the address of one whose end is told later left the old line to come up at the new exchange. Also: the M3UA front had none of the guards that the platform's front got: half a message or silence after connecting, a wrong field inside DATA (it ended the association), a connection whose heartbeats stay unheard. Ruled out: growth of SipFront.at (cleared at BYE since the last change), timers in the heap (cancelled ones leave by their deadline, 9 s at most).

--- a/ospreyvale/program/isup_exchanges.py
+++ b/ospreyvale/program/isup_exchanges.py
@@ -121,6 +121,10 @@
                 self._drop(line.address)
             elif line.address not in self.far or self.far[line.address].peer.address != target.address:
                 self._drop(line.address)
+                # An address that passes to a new id was left by the old one, whose end may be told later: its
+                # line would come up at the new exchange.
+                for name in [far.name for far in self.far.values() if far.peer.address == target.address]:
+                    self._drop(name)
                 self.far[line.address] = Far(line.address, lambda far, to=target.address: Peer(  # type: ignore[misc]
                     self.dialer, to, self.connect_timeout_ms, lambda link: self._serve(far, link),
                     lambda: self._unreachable(far)))
@@ -200,7 +204,8 @@
                 spoilt = True
                 break
         if line in far.lines:  # else the exchange itself is gone from the list
-            self.log("exchange_lost", exchange=far.name.decode(), reset=link.was_reset)
+            self.log("exchange_lost", exchange=far.name.decode(), reset=link.was_reset, spoilt=spoilt,
+                     doubted=line.doubted_at < math.inf, open=sum(at is line for at in far.open.values()))
             self.counters["exchanges_lost"] += 1
             self._lost(far, line, ran=spoilt or line.doubted_at < math.inf)
 
--- a/ospreyvale/program/m3ua_exchanges.py
+++ b/ospreyvale/program/m3ua_exchanges.py
@@ -19,6 +19,7 @@
 from ospreyvale.transport.network import Dialer, Link
 from ospreyvale.transport.pool import Peer
 
+SILENT_MOST = 3
 ENDS = {Cause.NO_CIRCUIT: (i.Outcome.FULL, i.Cause.NO_CIRCUIT),
         Cause.CIRCUIT_NOT_AVAILABLE: (i.Outcome.FULL, i.Cause.NO_CIRCUIT),
         Cause.CONGESTION: (i.Outcome.FULL, i.Cause.PROCESSOR_FULL),
@@ -38,6 +39,7 @@
         self.standing: set[int] = set()  # calls answered
         self.releasing: set[int] = set()  # CICs whose REL has no RLC yet
         self.probes: dict[int, float] = {}
+        self.silent = 0  # heartbeats in a row after which nothing at all was heard
         self.condition = i.Condition.READY
 
     @property
@@ -82,13 +84,15 @@
         self.loop.at(self.loop.now + self.connect_timeout_ms,
                      lambda: None if association.active else link.close())
         while data := (yield from link.receive()):
+            far.silent = 0
             try:
                 association.feed(data)
             except ProtocolError as error:
                 self.counters["protocol_errors"] += 1
                 self.log("protocol_error", wire="m3ua", why=str(error))
                 break
-        far.association = None
+        far.association, far.silent = None, 0
+        self.counters["messages_refused"] += association.faults
         self.counters["m3ua_not_active"] += association.refused
         self._lost(far)
 
@@ -205,8 +209,14 @@
 
     def _unbeaten(self, far: FarEnd, number: int) -> None:
         sent = far.probes.pop(number, None)
-        if sent is not None:
-            self.core.probed(far.name, i.Outcome.TIMEOUT, self.loop.now - sent)
+        if sent is None:
+            return
+        far.silent += 1
+        if far.silent >= SILENT_MOST and far.association is not None:
+            # The peer's M3UA layer answers these, whatever its exchange does: the connection is dead.
+            self.counters["lines_dead"] += 1
+            far.association.link.close()
+        self.core.probed(far.name, i.Outcome.TIMEOUT, self.loop.now - sent)
 
     # ---- circuits ----
 
--- a/ospreyvale/program/m3ua_front.py
+++ b/ospreyvale/program/m3ua_front.py
@@ -11,6 +11,7 @@
 
 from ospreyvale.program.edge import M3uaConfig
 from ospreyvale.program.m3ua_link import ServerAssociation
+from ospreyvale.program.unfinished import Unfinished
 from ospreyvale.protocol import m3ua
 from ospreyvale.protocol.errors import ProtocolError
 from ospreyvale.protocol.m3ua import Cause, Circuit, Isup, Route
@@ -45,6 +46,7 @@
         self.legs: dict[Key, Leg] = {}
         self.circuit_of: dict[int, Key] = {}
         self.associations: dict[ServerAssociation, int] = {}  # with the peer's point code, once it is known
+        self.unfinished = Unfinished[ServerAssociation](loop, counters, lambda _: False)
         self.random = random.Random(seed)
 
     def serve(self, link: Link) -> Coroutine:
@@ -52,14 +54,22 @@
         association = ServerAssociation(link, lambda route, message: self._take(association, route, message),
                                         lambda: self._moved(association))
         self.associations[association] = -1
+        self.unfinished.begin(association)
         while data := (yield from link.receive()):
+            known = association.messages
             try:
                 association.feed(data)
             except ProtocolError as error:
                 self.counters["protocol_errors"] += 1
                 self.log("protocol_error", wire="m3ua", why=str(error))
                 break
+            if association.messages > known:
+                self.unfinished.end(association)
+            if association.reader.inside:
+                self.unfinished.begin(association)
+        self.unfinished.end(association)
         self.counters["m3ua_not_active"] += association.refused
+        self.counters["messages_refused"] += association.faults
         del self.associations[association]
         self._give_up(association)
         link.close()
--- a/ospreyvale/program/m3ua_link.py
+++ b/ospreyvale/program/m3ua_link.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from ospreyvale.protocol import m3ua
+from ospreyvale.protocol.errors import ProtocolError
 from ospreyvale.protocol.m3ua import Kind, Message, Tag
 from ospreyvale.transport.network import Link
 
@@ -26,6 +27,7 @@
         self.state = Asp.DOWN
         self.reader = m3ua.Reader()
         self.refused = 0  # DATA that came while the ASP was not active
+        self.messages = self.faults = 0  # taken in all, and DATA whose content made no sense
 
     @property
     def active(self) -> bool:
@@ -38,6 +40,7 @@
     def feed(self, data: bytes) -> None:
         """Take bytes; a ProtocolError leaves the rest to whoever closes the connection."""
         for message in self.reader.feed(data):
+            self.messages += 1
             if message.kind == Kind.BEAT:
                 self.link.send(m3ua.encode(Kind.BEAT_ACK, *message.parameters))
             elif message.kind == Kind.DATA and self.state is not Asp.ACTIVE:
@@ -45,10 +48,20 @@
                 self.refused += 1
                 self.link.send(m3ua.error(m3ua.Error.UNEXPECTED_MESSAGE))
             elif message.kind == Kind.DATA:
-                self.take(*m3ua.circuit(message))
+                self._data(message)
             else:
                 self._manage(message)
 
+    def _data(self, message: Message) -> None:
+        """A wrong field inside DATA fails that message; the framing holds, and so does the association."""
+        try:
+            route, circuit = m3ua.circuit(message)
+        except ProtocolError:
+            self.faults += 1
+            self.link.send(m3ua.error(m3ua.Error.PROTOCOL_ERROR))
+            return
+        self.take(route, circuit)
+
     def _manage(self, message: Message) -> None:
         raise NotImplementedError
 
--- a/ospreyvale/program/sip_front.py
+++ b/ospreyvale/program/sip_front.py
@@ -4,6 +4,7 @@
 
 from collections import Counter, OrderedDict
 
+from ospreyvale.program.unfinished import Unfinished
 from ospreyvale.protocol import sip
 from ospreyvale.protocol.errors import ProtocolError
 from ospreyvale.routing import interface as i
@@ -16,8 +17,6 @@
 CAUSES = {i.Outcome.OK: 16, i.Outcome.RESET: 41}
 RELEASES_KEPT = 8_192  # releases that wait for a connection from callers
 RESERVED = 64  # descriptors for exchanges (four lines each), the bus, listeners and the program itself
-UNFINISHED_MS = 2_000.0  # a connection may be silent at first, or inside a message, for so long
-SWEEP_MS = 250.0
 FAULTS_MOST = 32  # refused for their form in a row on one connection, before it is closed
 
 
@@ -29,7 +28,6 @@
         self.open: dict[int, sip.Message] = {}  # set-ups that are owed an answer here
         self.ended = False  # the peer has ended its side; it may still read
         self.active_at = 0.0
-        self.since = 0.0  # when the message began that is not yet whole
         self.faults = 0  # requests in a row that were refused for their form
 
 
@@ -46,10 +44,9 @@
         self.patience_ms, self.counters, self.log = patience_ms, counters, log
         self.callers: OrderedDict[Caller, None] = OrderedDict()  # that have sent set-ups, latest last
         self.idle: OrderedDict[Caller, None] = OrderedDict()  # all others
-        self.unfinished: OrderedDict[Caller, None] = OrderedDict()  # with no whole message yet, oldest first
+        self.unfinished = Unfinished[Caller](loop, counters, lambda caller: bool(caller.open))
         self.at: dict[int, Caller] = {}  # the connection of each call that is here, until it is over
         self.releases: OrderedDict[int, int] = OrderedDict()  # cause by call, until one can be sent
-        self._sweep()
 
     # ---- connections ----
 
@@ -60,13 +57,14 @@
             self.counters["connections_refused"] += 1
             link.close()
             return
-        self.idle[caller] = self.unfinished[caller] = None
-        caller.active_at = caller.since = self.loop.now
+        self.idle[caller] = None
+        self.unfinished.begin(caller)
+        caller.active_at = self.loop.now
         while data := (yield from link.receive()):
             caller.active_at = self.loop.now
             try:
                 for message in reader.feed(data):
-                    self.unfinished.pop(caller, None)
+                    self.unfinished.end(caller)
                     self._hear(caller, message)
                     if caller.faults >= FAULTS_MOST:
                         self.counters["connections_faulty"] += 1
@@ -75,12 +73,13 @@
                 self.counters["protocol_errors"] += 1
                 self.log("protocol_error", wire="sip", why=str(error))
                 break
-            if reader.inside and caller not in self.unfinished:
-                caller.since, self.unfinished[caller] = self.loop.now, None
+            if reader.inside:
+                self.unfinished.begin(caller)
         else:
             caller.ended = not link.closed
-        for kept in (self.idle, self.callers, self.unfinished):
-            kept.pop(caller, None)
+        self.unfinished.end(caller)
+        self.idle.pop(caller, None)
+        self.callers.pop(caller, None)
         if caller.ended and caller.open:
             return  # half-closed: what is open is still answered, then `_close_ended` ends it
         for call in list(caller.open):
@@ -93,7 +92,7 @@
 
         One that has never said anything whole goes first: a crowd of those must not cost a caller its own.
         """
-        silent = next((caller for caller in self.unfinished if caller in self.idle), None)
+        silent = next((caller for caller in self.unfinished.since if caller in self.idle), None)
         if silent is None:
             spare = [caller for caller in (*self.idle, *self.callers) if not caller.open]
             silent = min(spare, key=lambda caller: caller.active_at) if spare else None
@@ -103,17 +102,6 @@
         self.counters["connections_shed"] += 1
         return True
 
-    def _sweep(self) -> None:
-        """Guards against connections that say nothing, or half a message, and hold a descriptor for good."""
-        for caller in list(self.unfinished):
-            if self.loop.now < caller.since + UNFINISHED_MS:
-                break
-            if not caller.open:
-                self.counters["connections_stalled"] += 1
-                self.unfinished.pop(caller)
-                caller.link.close()
-        self.loop.at(self.loop.now + SWEEP_MS, self._sweep)
-
     # ---- what callers say ----
 
     def _hear(self, caller: Caller, message: sip.Message) -> None:
--- a/ospreyvale/protocol/m3ua.py
+++ b/ospreyvale/protocol/m3ua.py
@@ -90,6 +90,11 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
+    @property
+    def inside(self) -> bool:
+        """Whether part of a message has come, and not the rest."""
+        return bool(self._buffer)
+
     def feed(self, data: bytes) -> Iterator[Message]:
         """Add bytes; every whole message that they complete."""
         self._buffer += data
--- a/ospreyvale/routing/control.py
+++ b/ospreyvale/routing/control.py
@@ -23,6 +23,7 @@
 VAIN_BAND = (0.3, 0.5)  # set-ups that tandems turned back, for each call carried
 BUSY_BAND = (0.5, 1.5)  # busy answers of one number, decayed: one alone does not hold it
 BUSY_MEMORY_MS = 3_000.0  # decay of that count: a number is tried again soon
+BUSY_MOST = 4_096  # numbers remembered as busy; one that nobody calls again would stay for good
 ROUND_MS = 2_000.0  # probe round toward an open exchange: the design's default
 PROBERS = 6  # instances that may probe so often; more of them share that budget
 RECHECK_MS = 250.0  # probe gap toward a closed one, so that an idle processor is found soon
@@ -354,6 +355,8 @@
         self.busy[number] = (hold, count, now)
         if count < BUSY_BAND[0]:
             del self.busy[number]
+        elif len(self.busy) > BUSY_MOST:
+            del self.busy[next(iter(self.busy))]
         return hold.on[0]
 
     def _quick(self, now: float, far: Far) -> bool:
--- a/ospreyvale/routing/roster.py
+++ b/ospreyvale/routing/roster.py
@@ -36,9 +36,13 @@
                     del self.entries[address]
         for line in lines:
             known = self.entries.get(line.address)
-            if known and line.condition is i.Condition.GONE:
-                gone.append((line.address, math.inf))
-            elif known and line.started_ms > known.line.started_ms:
+            if line.condition is i.Condition.GONE:
+                # Kept no longer: ids come and go all day, and what the module's full list leaves out is gone.
+                if known:
+                    gone.append((line.address, math.inf))
+                    del self.entries[line.address]
+                continue
+            if known and line.started_ms > known.line.started_ms:
                 gone.append((line.address, line.started_ms))
             since = known.since if known and known.line.condition is line.condition else now
             self.entries[line.address] = Entry(line, port, since)
--- a/tests/player.py
+++ b/tests/player.py
@@ -110,7 +110,7 @@
         return data
 
     def send(self, data: bytes) -> bool:
-        if data[2:3] == b"\x34" and self.mute:
+        if self.mute and (data[2:3] == b"\x34" or data[:4] == b"\x01\x00\x03\x03"):
             pass
         elif data[2:3] == b"\x34":
             self.inbox += platform(53, int.from_bytes(data[3:11], "big"), p208=b"\x01")
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -21,14 +21,16 @@
 from ospreyvale.program.config import ConfigError, config_from, read_config
 from ospreyvale.program.edge import edge_from, read_edge
 from ospreyvale.program.eventlog import EventLog
+from ospreyvale.protocol.eventbus import from_json
 from ospreyvale.routing import interface as i
+from ospreyvale.routing.control import BUSY_MOST
 from ospreyvale.routing.invariant import broken, invariant
 from ospreyvale.routing.roster import Entry
 from ospreyvale.routing.state import Offer
 from ospreyvale.routing.table import CallTable
 from ospreyvale.transport.loop import Loop
 from ospreyvale.transport.network import QUEUE_LIMIT, Connection, Link, Network
-from tests.player import CONFIG, START, NoPoller, Player
+from tests.player import CONFIG, START, NoPoller, Player, target
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -270,3 +272,18 @@
     assert exchanges._without_sent(far, ()) == ()
     assert exchanges._without_sent(far, (5.0, 20.0)) == (4.0, 20.0)
     assert exchanges._without_sent(far, (0.0, 20.0)) == (0.0, 20.0)
+
+
+def test_what_is_gone_leaves_nothing_behind() -> None:
+    """New exchanges replace old ones all day: each left a line in the roster and in the module."""
+    player = Player()
+    app = player.start()
+    for number in range(3, 200):
+        for state in ("Ready", "Gone"):
+            app.exchanges.take(from_json({"offset": number, "topology": {
+                "all": False, "targets": [target(3 + number % 6, state) | {"uid": f"s-{number:08x}"}]}}, []))
+    assert len(app.exchanges.far) == 3
+    assert len(app.core.context.roster.entries) == len(app.core.control.roster) == 3
+    for number in range(2 * BUSY_MOST):
+        app.core.control._is_busy(START, number, answers=1.0)
+    assert len(app.core.control.busy) == BUSY_MOST
