Let the learned set-up rate grow fast while the own processor is idle

Checked by a trace of the module's measures: it learned 8 set-ups a second from the first lag after its start, and 10% a second brought that to 22 only 11 s later, with its own delay at 0 to 5 ms (_learn).

--- a/ospreyvale/routing/control.py
+++ b/ospreyvale/routing/control.py
@@ -31,7 +31,9 @@
 CARRIED_MEMORY_MS = 5_000.0  # average of the calls carried: long, as it stands for a capacity
 SET_UPS_A_CALL = 3.0  # work of a call carried and one that ends here, in set-ups: answers and releases too
 RATE_CUT = 0.8  # of the calls carried at best is left at least when the own processor begins to lag
-RATE_GROWTH = 0.10  # per second: how fast the learned rate rises while the processor is quick
+RATE_GROWTH = 0.10  # per second: how fast the learned rate rises while the processor is quick,
+IDLE_GROWTH = 0.50  # and while its delay is under this share of the scale: nobody waits there
+IDLE_SHARE = 0.1
 BEAT_MS = 50.0  # own timer: due probes and waiting calls are looked at this often
 WAIT_SHARE = 0.5  # of its aim, or its caller's time if less, a call may wait here for a circuit or an end
 RESERVE = 0.10  # share of a group kept from calls that go over a tandem (trunk reservation)
@@ -340,7 +342,8 @@
             kept = RATE_CUT * min(self.learned, self.peak)
             self.learned = max(min(self.learned, self.rate), kept)
         elif not lags:
-            self.learned *= 1.0 + RATE_GROWTH * step / 1000.0
+            idle = self.own.delay(now) < IDLE_SHARE * self.scale
+            self.learned *= 1.0 + (IDLE_GROWTH if idle else RATE_GROWTH) * step / 1000.0
         if lags is not self.lagged:
             self.lagged = lags
             self.out.append(i.Note(f"own exchange {'closed' if lags else 'open'}"))
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -614,3 +614,14 @@
     assert far.hold.on[0]
     mesh.control.rate_hold.update(101.0, 100.0)
     assert mesh.control.rate_hold.on[0]
+
+
+def test_the_learned_rate_grows_fast_while_the_own_processor_is_idle() -> None:
+    """A node restarted under load learned 8 a second and refused half its calls while idle."""
+    grown = []
+    for delay in (0.0, 0.5):
+        mesh = Mesh(resend_ms=0.0)
+        mesh.control.learned, mesh.control.own.wait = 10.0, delay * mesh.control.scale
+        mesh.control._learn(mesh.control.rate_at + 1000.0)
+        grown.append(mesh.control.learned)
+    assert grown == pytest.approx([15.0, 11.0])
