--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -187,7 +187,7 @@
         mesh.stand(mesh.next_call - 1, 1, 20.0)
         mesh.call(1)
         mesh.beat(20.0)
-        assert mesh.control.rate < mesh.control.learned + 1.0  # over it by the set-up that reached it, at most
+        assert mesh.control.rate < mesh.control.learned + 1.0  # over it by one set-up at most
     assert mesh.control.rate_hold.on[0]
     mesh.run(1500.0)
     assert not mesh.control.rate_hold.on[0]
