--- a/ospreyvale/program/app.py
+++ b/ospreyvale/program/app.py
@@ -31,6 +31,7 @@
 LINGER_MS = 750.0  # set-ups may still come for 0.6 s after SIGTERM
 CHECK_MS = 20.0
 GC_OBJECTS = 50_000
+SLOW_TURN_MS = 20.0
 
 
 class Logger(Protocol):
@@ -186,8 +187,12 @@
     # Full collections of the default pace took turns of their own; what calls leave is freed by count.
     gc.set_threshold(GC_OBJECTS, 20, 20)
     gc.freeze()
+    longest = SLOW_TURN_MS
     while loop.running:
         loop.turn()
+        if loop.longest_ms > longest:  # only ever longer ones: a few lines in all
+            longest = loop.longest_ms
+            log("slow_turn", ms=round(longest))
         log.flush()
     app.report()
     log("ended")
