Doubt a silent line to an exchange after 80 ms, and give it up 120 ms later

Checked in the log: 11 lines were given up as dead with 0 to 12 set-ups open on each; 150 + 300 ms to find out and the release time after it leave no time within an aim of 0.63 s. An exchange reacts within 3 ms, so less is enough; that one line is silent while the next one hears more stays the proof.

--- a/ospreyvale/program/isup_exchanges.py
+++ b/ospreyvale/program/isup_exchanges.py
@@ -33,13 +33,13 @@
            "outstanding": "inflight", "backlog": "queue", "utilization": "util", "allowed": "qps"}
 # An exchange answers a set-up with its group's state at once (within 3 ms, measured over 1,178 of them),
 # whatever its processor does; a test and an answer take the processor's time.
-WATCH_MS = 50.0
-SILENT_MS = 150.0  # nothing at all after a set-up: the line is doubted
+WATCH_MS = 25.0
+SILENT_MS = 80.0  # nothing at all after a set-up: the line is doubted
 QUIET_MS = 400.0  # nothing while a set-up or a test waits there: the same
 YOUNG_MS = 1_000.0  # but not so soon after it came up, as a processor that hangs is quiet on every line
-DEAD_MS = 300.0  # a doubted line that still says nothing, while the one after it does
+DEAD_MS = 120.0  # a doubted line that still says nothing, while the one after it does
 GIVEN_UP_MS = 1_500.0  # the same where the one after it says nothing either
-STALLED_MS = 300.0  # inside a message, no more of it coming: it never will
+STALLED_MS = 150.0  # inside a message, no more of it coming: it never will
 LINES_MOST = 4  # an exchange tells the state of its group on no more connections
 SENT_KEPT = 4_096  # times of set-ups, for one exchange
 RELEASES_KEPT = 1_024  # releases that wait for a line, for one exchange
