--- /dev/null
+++ b/ospreyvale/program/admin.py
@@ -0,0 +1,38 @@
+"""Where the operators call: readiness, the figures, and sending clients away."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import orjson
+
+from ospreyvale.program.drain import Drain
+from ospreyvale.program.figures import Figures
+from ospreyvale.program.http import Reply, Routes
+
+BASE = b"/v1/session-controller"
+
+
+class Admin:
+    """The calls of the admin front."""
+
+    def __init__(self, figures: Figures, drain: Drain, ready: Callable[[], bool]) -> None:
+        self.figures, self.drain, self.ready = figures, drain, ready
+        self.routes: Routes = {
+            b"/v1/readyz": {b"GET": self._ready},
+            b"/v1/metrics": {b"GET": lambda: Reply(200, orjson.dumps(figures.metrics()))},
+            BASE + b"/drain": {b"PUT": self._drain},
+            BASE + b"/activate": {b"PUT": self._activate}}
+
+    def _ready(self) -> Reply:
+        """Whether this process takes clients: not before it is ready, and not while they are sent away."""
+        taking = self.ready() and not self.drain.on
+        return Reply(200 if taking else 503, b'{"ready":true}' if taking else b'{"ready":false}')
+
+    def _drain(self) -> Reply:
+        self.drain.begin()
+        return Reply(200, b'{"state":"draining"}')
+
+    def _activate(self) -> Reply:
+        self.drain.end()
+        return Reply(200, b'{"state":"active"}')
--- a/ospreyvale/program/app.py
+++ b/ospreyvale/program/app.py
@@ -13,17 +13,19 @@
 from pathlib import Path
 from typing import Any, Protocol
 
+from ospreyvale.program.admin import Admin
 from ospreyvale.program.bus import BusFront
 from ospreyvale.program.config import Config, ConfigError, read_config
+from ospreyvale.program.drain import Drain
 from ospreyvale.program.edge import Edge, read_edge
 from ospreyvale.program.eventlog import EventLog
-from ospreyvale.program.http import CountersFront, OtlpExporter
+from ospreyvale.program.figures import Figures
+from ospreyvale.program.http import HttpFront, OtlpExporter, Routes, counters_routes
 from ospreyvale.program.isup_exchanges import IsupExchanges
 from ospreyvale.program.m3ua_exchanges import M3uaExchanges
 from ospreyvale.program.m3ua_front import M3uaFront
 from ospreyvale.program.sip_front import SipFront
 from ospreyvale.routing.core import Core
-from ospreyvale.routing.invariant import broken
 from ospreyvale.transport.loop import READ, Coroutine, Loop
 from ospreyvale.transport.network import Address, Dialer, Link, Network
 
@@ -46,7 +48,7 @@
     """What the program needs of the network."""
 
     def listen(self, address: Address, serve: Callable[[Link], Coroutine],
-               make_room: Callable[[], bool]) -> Callable[[], None]: ...
+               make_room: Callable[[], bool], urgent: bool = False) -> Callable[[], None]: ...
 
 
 class App:
@@ -59,9 +61,11 @@
         loop = network.loop
         self.core = Core(loop, config.settings, config.drain_grace_ms, log)
         self.counters = self.core.context.counters
+        self.drain = Drain(loop, log)
+        self.kept = Figures(self.core, config.classes, self.counters)
         patience_ms = tuple(kind.deadline_ms for kind in config.settings.classes)
         self.sip = SipFront(loop, self.core, config.name, config.classes, patience_ms, self.counters, log,
-                            config.customers, config.widest, config.sockets)
+                            self.drain, config.customers, config.widest, config.sockets)
         self.core.home = self.sip
         self.exchanges = IsupExchanges(network, self.core, config.columns, config.connect_timeout_ms,
                                        self.counters, log)
@@ -74,18 +78,26 @@
         listens: list[tuple[Address, Callable[[Link], Coroutine]]] = [(config.listen, self.sip.serve)]
         if edge.m3ua.listen is not None:
             m3ua = M3uaFront(loop, self.core, edge.m3ua, config.classes, patience_ms, config.settings.seed,
-                             self.counters, log)
+                             self.counters, log, self.drain)
             listens.append((edge.m3ua.listen, m3ua.serve))
-        if edge.counters is not None:
-            listens.append((edge.counters, CountersFront(network, self.figures, self.counters).serve))
         if edge.otlp.endpoint is not None:
             OtlpExporter(network, edge.otlp, edge.otlp.endpoint, config.name, self.figures, self.counters,
                          log)
         self.stops = [network.listen(address, serve, self.sip.make_room) for address, serve in listens]
         self.stopping = False
+        if edge.counters is not None:
+            self._listen_http(network, edge.counters, counters_routes(self.figures))
+        if config.admin is not None:
+            self._listen_http(network, config.admin, Admin(self.kept, self.drain, lambda: True).routes)
         loop.on_fault = self._fault
         log("started", listen=f"{config.listen[0]}:{config.listen[1]}", exchanges=len(self.exchanges.far))
 
+    def _listen_http(self, network: Edges, address: Address, routes: Routes) -> None:
+        """A listener of its own, read first: no call there waits behind callers or for their descriptors."""
+        front = HttpFront(network, routes, self.counters)
+        self.stops.append(network.listen(address, front.serve,
+                                         lambda: front.make_room() or self.sip.make_room(), urgent=True))
+
     def stop(self) -> None:
         """SIGTERM: take what still comes for a while, answer all of it, then end."""
         if not self.stopping:
@@ -123,9 +135,7 @@
                  descriptors=len(os.listdir("/proc/self/fd")))
 
     def figures(self) -> dict[str, int]:
-        table = self.core.context.table
-        return {**self.counters, **{f"broken_{name}": count for name, count in broken.items()},
-                "unanswered": table.unanswered, "standing": table.standing, "log_dropped": self.log.dropped}
+        return {**self.kept.flat(), "log_dropped": self.log.dropped}
 
     def _end_when_answered(self) -> None:
         if self.core.context.table.unanswered:
--- a/ospreyvale/program/config.py
+++ b/ospreyvale/program/config.py
@@ -37,6 +37,7 @@
     drain_grace_ms: float
     customers: tuple[str, ...]  # those of the settings; none: any
     widest: int  # circuits that a call may take
+    admin: Address | None  # where the operators call; none: nowhere
 
 
 def address(text: Any, name: str) -> Address:
@@ -65,7 +66,7 @@
         raise ConfigError(f"LB_CONFIG is not JSON: {error}") from None
     if not isinstance(values, dict):
         raise ConfigError("LB_CONFIG is not a JSON object")
-    for name in ("name", "listen"):
+    for name in ("name", "listen", "admin"):
         values[name] = environment.get(f"LB_{name.upper()}") or values.get(name)
     return config_from(values)
 
@@ -100,7 +101,7 @@
         str(values["name"]), address(values["listen"], "listen"), address(values["bus"], "bus"), sockets,
         known, int(values["known"].get("offset", known[-1].offset if known else 0)), settings,
         tuple(service.values["Name"] for service in services), columns, connect_timeout_ms, drain_grace_ms,
-        customers, widest)
+        customers, widest, address(values["admin"], "admin") if values.get("admin") else None)
 
 
 def _known(known: Any, zones: list[str]) -> tuple[eventbus.Event, ...]:
--- /dev/null
+++ b/ospreyvale/program/drain.py
@@ -0,0 +1,62 @@
+"""Sending clients away for a while, by the operators' call: a state that the fronts ask about."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+from ospreyvale.routing.context import Log
+from ospreyvale.transport.loop import Loop
+
+LEAVING_MS = 400.0  # new connections come for 0.3 s after the call: closed sooner, clients would come again
+# What is offered for so long is served, later set-ups are refused: 4 s after the call no connection may be
+# idle or have a request of the last 2 s.
+SERVING_MS = 1_000.0
+SWEEP_MS = 50.0
+
+
+class Drain:
+    """Whether clients are sent away, and how far that has come; `sweep` is called meanwhile."""
+
+    def __init__(self, loop: Loop, log: Log) -> None:
+        self.loop, self.log = loop, log
+        self.since = math.inf
+        self.sweeps: list[Callable[[], None]] = []  # one of each front
+        self.moved: list[Callable[[bool], None]] = []  # told when it begins and when it ends
+
+    @property
+    def on(self) -> bool:
+        return self.since < math.inf
+
+    @property
+    def closing(self) -> bool:
+        """Connections without a call are closed."""
+        return self.loop.now >= self.since + LEAVING_MS
+
+    @property
+    def refusing(self) -> bool:
+        """New set-ups are refused."""
+        return self.loop.now >= self.since + SERVING_MS
+
+    def begin(self) -> None:
+        if not self.on:
+            self.since = self.loop.now
+            self.log("drain_began")
+            self._tell()
+            self.loop.at(self.since + LEAVING_MS, lambda since=self.since: self._sweep(since))  # type: ignore[misc]
+
+    def end(self) -> None:
+        if self.on:
+            self.since = math.inf
+            self.log("drain_ended")
+            self._tell()
+
+    def _tell(self) -> None:
+        for moved in self.moved:
+            moved(self.on)
+
+    def _sweep(self, since: float) -> None:
+        if self.since == since:  # else that drain is over
+            for sweep in self.sweeps:
+                sweep()
+            self.loop.at(self.loop.now + SWEEP_MS, lambda: self._sweep(since))
--- a/ospreyvale/program/http.py
+++ b/ospreyvale/program/http.py
@@ -1,14 +1,17 @@
-"""The HTTP beside the main protocol: counters on request, and the export of metrics over OTLP/HTTP."""
+"""The HTTP beside the main protocol: calls to a table of routes, and the export of metrics over OTLP/HTTP."""
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Generator, Mapping
+from dataclasses import dataclass
+from http import HTTPStatus
 
 import h11
 import orjson
 
 from ospreyvale.program.edge import OtlpConfig
+from ospreyvale.program.figures import GAUGES
 from ospreyvale.protocol import otlp
 from ospreyvale.protocol.errors import LARGEST, ProtocolError
 from ospreyvale.routing.context import Log
@@ -16,7 +19,7 @@
 from ospreyvale.transport.network import Address, Dialer, Link
 
 TIMEOUT_MS = 2_000.0  # of one request, either way
-GAUGES = frozenset({"unanswered", "standing"})
+CALLS_MOST = 12  # connections without a whole call
 Figures = Callable[[], Mapping[str, int]]
 
 
@@ -43,32 +46,73 @@
             return None
 
 
-class CountersFront:
-    """Answers `GET /counters`, one request a connection."""
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What a call gets: JSON, or nothing."""
 
-    def __init__(self, dialer: Dialer, figures: Figures, counters: Counter[str]) -> None:
-        self.loop, self.figures, self.counters = dialer.loop, figures, counters
+    status: int
+    body: bytes = b""
+
+
+Routes = Mapping[bytes, Mapping[bytes, Callable[[], Reply]]]  # by path, then by method
+
+
+def counters_routes(figures: Figures) -> Routes:
+    """`GET /counters`, for the address that `deploy/edge.toml` gives."""
+    return {b"/counters": {b"GET": lambda: Reply(200, orjson.dumps(
+        dict(figures()), option=orjson.OPT_APPEND_NEWLINE))}}
+
+
+class HttpFront:
+    """Answers one call a connection, out of a table of routes.
+
+    At most `CALLS_MOST` connections: past that the one that has been without a whole call for longest gives
+    way.  Guards against callers that hold a connection and never finish a call, which would keep out others.
+    """
+
+    def __init__(self, dialer: Dialer, routes: Routes, counters: Counter[str]) -> None:
+        self.loop, self.routes, self.counters = dialer.loop, routes, counters
+        self.open: OrderedDict[Link, None] = OrderedDict()  # without a whole call yet, the oldest first
+
+    def make_room(self) -> bool:
+        """Give up the oldest connection without a whole call."""
+        if not self.open:
+            return False
+        self.open.popitem(last=False)[0].close()
+        self.counters["calls_given_up"] += 1
+        return True
 
     def serve(self, link: Link) -> Coroutine:
+        if len(self.open) >= CALLS_MOST:
+            self.make_room()
+        self.open[link] = None
         limit = self.loop.at(self.loop.now + TIMEOUT_MS, link.close)
         peer = h11.Connection(h11.SERVER, max_incomplete_event_size=LARGEST)
         try:
             asked = yield from _message(link, peer)
             if asked is not None and isinstance(asked[0], h11.Request):
-                self._answer(link, peer, asked[0])
+                self._answer(link, peer, *self._reply(asked[0]))
         except (h11.RemoteProtocolError, ProtocolError):
             self.counters["protocol_errors"] += 1
+            self._answer(link, peer, Reply(400))
         limit.cancel()
+        self.open.pop(link, None)
         link.close()
 
-    def _answer(self, link: Link, peer: h11.Connection, request: h11.Request) -> None:
-        found = request.method == b"GET" and request.target == b"/counters"
-        body = orjson.dumps(dict(self.figures()), option=orjson.OPT_APPEND_NEWLINE) if found else b""
-        status, reason = (200, b"OK") if found else (404, b"Not Found")
-        head = h11.Response(status_code=status, reason=reason, headers=[
-            ("Content-Type", "application/json"), ("Content-Length", str(len(body))),
-            ("Connection", "close")])
-        for event in (head, h11.Data(data=body), h11.EndOfMessage()):
+    def _reply(self, request: h11.Request) -> tuple[Reply, str]:
+        """The reply, and the methods that the path allows where this was another."""
+        methods = self.routes.get(request.target.partition(b"?")[0])
+        if methods is None:
+            return Reply(404), ""
+        act = methods.get(request.method)
+        return (Reply(405), b", ".join(methods).decode()) if act is None else (act(), "")
+
+    @staticmethod
+    def _answer(link: Link, peer: h11.Connection, reply: Reply, allow: str = "") -> None:
+        head = h11.Response(status_code=reply.status, reason=HTTPStatus(reply.status).phrase, headers=[
+            *([("Allow", allow)] if allow else []), ("Content-Type", "application/json"),
+            ("Content-Length", str(len(reply.body))), ("Connection", "close")])
+        for event in (head, h11.Data(data=reply.body), h11.EndOfMessage()):
             link.send(peer.send(event) or b"")
 
 
--- a/ospreyvale/program/isup_exchanges.py
+++ b/ospreyvale/program/isup_exchanges.py
@@ -283,6 +283,7 @@
         far.open[offer.call] = line
         far.sent.append(self.loop.now)
         line.asked(self.loop.now, set_up=True)
+        self.counters["upstream_requests"] += 1
         line.link.send(isup.encode(Message(Type.IAM, offer.call, {
             Code.CLASS: offer.class_name.encode(), Code.WAIT: str(max(1, int(order.wait_ms))).encode(),
             Code.NUMBER: offer.number_text.encode(), Code.DESCRIPTION: offer.description})))
--- a/ospreyvale/program/m3ua_exchanges.py
+++ b/ospreyvale/program/m3ua_exchanges.py
@@ -137,6 +137,7 @@
             self.core.ended(call, far.name, End(i.Outcome.MOOT, i.Cause.NO_CIRCUIT))
         else:
             offer = order.offer
+            self.counters["upstream_requests"] += 1
             self._send(far, Circuit(far.seize(call), Isup.IAM, offer.number_text.upper(),
                                     offer.call_class > 0, description=offer.description))
             self._tell_group(far)
--- a/ospreyvale/program/m3ua_front.py
+++ b/ospreyvale/program/m3ua_front.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
+from ospreyvale.program.drain import Drain
 from ospreyvale.program.edge import M3uaConfig
 from ospreyvale.program.m3ua_link import ServerAssociation
 from ospreyvale.program.unfinished import Unfinished
@@ -40,7 +41,10 @@
     """Offers the calls that peers set up, and answers them; a `CallerPort`."""
 
     def __init__(self, loop: Loop, core: Core, config: M3uaConfig, classes: tuple[str, ...],
-                 patience_ms: tuple[float, ...], seed: int, counters: Counter[str], log: Log) -> None:
+                 patience_ms: tuple[float, ...], seed: int, counters: Counter[str], log: Log,
+                 drain: Drain) -> None:
+        self.drain = drain
+        drain.moved.append(self._notify)
         self.loop, self.core, self.config = loop, core, config
         self.classes, self.patience_ms, self.counters, self.log = classes, patience_ms, counters, log
         self.legs: dict[Key, Leg] = {}
@@ -85,6 +89,13 @@
                 self._idle(key)
                 self.core.give_up(leg.call)
 
+    def _notify(self, draining: bool) -> None:
+        """Clients are sent away, or come again: each peer hears that we are inactive, or active."""
+        status = m3ua.AS_INACTIVE if draining else m3ua.AS_ACTIVE
+        for association in self.associations:
+            if association.active:
+                association.link.send(m3ua.encode(m3ua.Kind.NTFY, (m3ua.Tag.STATUS, status)))
+
     # ---- what peers say ----
 
     def _take(self, association: ServerAssociation, route: Route, message: Circuit) -> None:
@@ -119,6 +130,9 @@
             # A release here would end the call that has the circuit: the second IAM is passed over.
             self.counters["m3ua_duplicate_cic"] += 1
             return
+        if self.drain.refusing:
+            self._send(key, Circuit(message.cic, Isup.REL, cause=Cause.CONGESTION), association)
+            return
         place = min(int(message.priority), len(self.classes) - 1)
         prefix = message.digits[:self.config.prefix]
         if not prefix.isdigit() or not len(message.digits) <= 16:
--- a/ospreyvale/program/sip_front.py
+++ b/ospreyvale/program/sip_front.py
@@ -4,6 +4,7 @@
 
 from collections import Counter, OrderedDict
 
+from ospreyvale.program.drain import Drain
 from ospreyvale.program.unfinished import Unfinished
 from ospreyvale.protocol import sip
 from ospreyvale.protocol.errors import ProtocolError
@@ -17,6 +18,7 @@
 CAUSES = {i.Outcome.OK: 16, i.Outcome.RESET: 41}
 RELEASES_KEPT = 8_192  # releases that wait for a connection from callers
 RESERVED = 64  # descriptors for exchanges (four lines each), the bus, listeners and the program itself
+DRAIN_IDLE_MS = 500.0  # while clients are sent away, a connection that never brought a set-up may be quiet
 FAULTS_MOST = 32  # refused for their form in a row on one connection, before it is closed
 
 
@@ -27,7 +29,9 @@
         self.link = link
         self.open: dict[int, sip.Message] = {}  # set-ups that are owed an answer here
         self.ended = False  # the peer has ended its side; it may still read
+        self.reader = sip.Reader()
         self.active_at = 0.0
+        self.calls = 0  # that came on it and are not over: open, or standing
         self.faults = 0  # requests in a row that were refused for their form
 
 
@@ -35,9 +39,10 @@
     """Takes set-ups from callers and answers them; a `CallerPort`."""
 
     def __init__(self, loop: Loop, core: Core, name: str, classes: tuple[str, ...],
-                 patience_ms: tuple[float, ...], counters: Counter[str], log: Log,
+                 patience_ms: tuple[float, ...], counters: Counter[str], log: Log, drain: Drain,
                  customers: tuple[str, ...] = (), widest: int = 1, sockets: int = 1024) -> None:
-        self.loop, self.core, self.name = loop, core, name
+        self.loop, self.core, self.name, self.drain = loop, core, name, drain
+        drain.sweeps.append(self._send_away)
         self.customers, self.widest = frozenset(customers), widest
         self.most = max(1, sockets - RESERVED)  # connections from callers at once
         self.classes = {text: place for place, text in enumerate(classes)}
@@ -52,7 +57,8 @@
 
     def serve(self, link: Link) -> Coroutine:
         """One connection, until the peer ends its side."""
-        caller, reader = Caller(link), sip.Reader()
+        caller = Caller(link)
+        reader = caller.reader
         if len(self.idle) + len(self.callers) >= self.most and not self.make_room():
             self.counters["connections_refused"] += 1
             link.close()
@@ -75,13 +81,14 @@
                 break
             if reader.inside:
                 self.unfinished.begin(caller)
+            self._close_spent(caller)
         else:
             caller.ended = not link.closed
         self.unfinished.end(caller)
         self.idle.pop(caller, None)
         self.callers.pop(caller, None)
         if caller.ended and caller.open:
-            return  # half-closed: what is open is still answered, then `_close_ended` ends it
+            return  # half-closed: what is open is still answered, then `_close_spent` ends it
         for call in list(caller.open):
             self._forget(call)
             self.core.give_up(call)
@@ -133,10 +140,10 @@
                 self.counters["byes_taken"] += 1
                 heard = self.core.hang_up(message.call)
                 if heard:
-                    self.at.pop(message.call, None)
+                    self._leave(message.call)
                 caller.link.send(sip.response(message, 200 if heard else 481))
             case "OPTIONS":
-                caller.link.send(sip.response(message, 200))
+                caller.link.send(sip.response(message, 503 if self.drain.on else 200))
             case "ACK" | "NOTIFY":
                 pass  # neither wants an answer
             case "":
@@ -160,8 +167,13 @@
             self.callers[caller] = None
             self._send_releases(caller)
         self.callers.move_to_end(caller)
+        if self.drain.refusing:
+            self.counters[f"rejected.{offer.class_name}"] += 1
+            caller.link.send(sip.response(message, 503))
+            return
         caller.open[offer.call] = message
         self.at[offer.call] = caller
+        caller.calls += 1
         if not self.core.offer(offer, self):
             self._forget(offer.call)
 
@@ -189,7 +201,7 @@
     def answer(self, call: int, description: bytes) -> None:
         """The call stands."""
         if not self._final(call, 200, description):
-            self.at.pop(call, None)
+            self._leave(call)
             self.core.hang_up(call)
 
     def refuse(self, call: int, back_off_ms: float) -> None:
@@ -200,14 +212,15 @@
 
     def release(self, call: int, outcome: i.Outcome) -> None:
         """A call that stood is over: any connection from callers will do, its own first."""
-        caller = self.at.pop(call, None)
+        caller = self.at.get(call)
         self.releases[call] = CAUSES.get(outcome, 31)
         while len(self.releases) > RELEASES_KEPT:
             self.releases.popitem(last=False)
         choices = [caller] if caller is not None and caller in self.callers else []
         for choice in [*choices, *reversed(self.callers)]:
             if self._send_releases(choice):
-                return
+                break
+        self._leave(call)
 
     # ---- within ----
 
@@ -216,22 +229,42 @@
         request = caller.open.pop(call, None) if caller is not None else None
         if caller is None or request is None:
             return False
-        if status != 200:
-            del self.at[call]
         sent = caller.link.send(sip.response(request, status, body, back_off_ms))
-        self._close_ended(caller)
+        if status != 200:
+            self._leave(call)
+        self._close_spent(caller)
         return sent
 
     def _forget(self, call: int) -> None:
         caller = self.at.get(call)
         if caller is not None and caller.open.pop(call, None) is not None:
-            del self.at[call]
-            self._close_ended(caller)
+            self._leave(call)
 
-    def _close_ended(self, caller: Caller) -> None:
-        if caller.ended and not caller.open:
+    def _leave(self, call: int) -> None:
+        """The call is over."""
+        caller = self.at.pop(call, None)
+        if caller is not None:
+            caller.calls -= 1
+            self._close_spent(caller)
+
+    def _close_spent(self, caller: Caller) -> None:
+        """Nothing is open on it and the peer has ended its side, or clients are sent away and it has no call.
+
+        One whose calls stand is kept: over it their releases reach the callers, which no other may do then.
+        """
+        if (caller.ended and not caller.open) or (self.drain.closing and not caller.calls and
+                                                  caller in self.callers and not caller.reader.inside):
             caller.link.close()
 
+    def _send_away(self) -> None:
+        """While clients are sent away: end what is idle."""
+        for caller in [*self.idle, *self.callers]:
+            if caller in self.idle and self.loop.now > caller.active_at + DRAIN_IDLE_MS \
+                    and not caller.reader.inside:
+                caller.link.close()
+            else:
+                self._close_spent(caller)
+
     def _send_releases(self, caller: Caller) -> bool:
         """All that wait, on this connection; False when it is gone."""
         while self.releases:
--- a/ospreyvale/routing/control.py
+++ b/ospreyvale/routing/control.py
@@ -292,6 +292,12 @@
         self._learn(now)
         self._pump(now)
 
+    def avoided(self) -> int:
+        """Exchanges of the list that are sent nothing new now: away, or closed by their hold."""
+        shut = {far.number for far in self.far.values() if far.hold.on[0]}
+        return sum(line.condition is not i.Condition.READY or line.number in shut
+                   for line in self.roster.values())
+
     # ---- measures ---------------------------------------------------------------------------
 
     def _report(self, far: Far, report: tuple[float, ...]) -> None:
--- a/ospreyvale/routing/stages/relay.py
+++ b/ospreyvale/routing/stages/relay.py
@@ -28,6 +28,7 @@
     if attempt.timer is not None:
         attempt.timer.cancel()
     context.counters["answers_stands"] += 1
+    context.counters[f"completed.{state.offer.class_name}"] += 1
     state.caller.answer(state.call, description)
     context.tell(i.Standing(state.call, attempt.number, attempt.line.address,
                             context.clock.now - attempt.sent_at))
@@ -50,6 +51,8 @@
     if not context.table.answer(state, final):
         return
     context.counters[f"answers_{final.value}"] += 1
+    end = "rejected" if final is Final.REFUSED else "failed"
+    context.counters[f"{end}.{state.offer.class_name}"] += 1
     if final is Final.REFUSED:
         state.caller.refuse(state.call, back_off_ms)
     else:
--- a/ospreyvale/transport/loop.py
+++ b/ospreyvale/transport/loop.py
@@ -78,6 +78,10 @@
         """Start a coroutine in this turn."""
         self._ready.append(coroutine)
 
+    def start(self, coroutine: Coroutine) -> None:
+        """Run a coroutine up to its first wait now, so that what it counts is counted before the next."""
+        self._guarded(lambda: self._step(coroutine))
+
     def fire(self, signal: Signal) -> None:
         """Resume everything that waits for the signal."""
         if signal.waiters:
--- a/ospreyvale/transport/network.py
+++ b/ospreyvale/transport/network.py
@@ -141,8 +141,11 @@
         self.loop = loop
 
     def listen(self, address: Address, serve: Callable[[Link], Coroutine],
-               make_room: Callable[[], bool]) -> Callable[[], None]:
-        """Accept connections and spawn `serve` for each; gives what stops listening."""
+               make_room: Callable[[], bool], urgent: bool = False) -> Callable[[], None]:
+        """Accept connections and start `serve` on each; gives what stops listening.
+
+        An urgent listener and its connections are read first in each turn, before any crowd at another.
+        """
         sock = socket.create_server(address, backlog=BACKLOG, reuse_port=False)
         sock.setblocking(False)
 
@@ -160,11 +163,11 @@
                         self.loop.at(self.loop.now + FULL_PAUSE_MS, resume)
                         return
                     continue
-                self.loop.spawn(serve(Connection(self.loop, fresh)))
+                self.loop.start(serve(Connection(self.loop, fresh, urgent)))
 
         def resume() -> None:
             if sock.fileno() >= 0:
-                self.loop.watch(sock.fileno(), READ, accept)
+                self.loop.watch(sock.fileno(), READ, accept, urgent)
 
         def stop() -> None:
             if sock.fileno() >= 0:
--- a/tests/player.py
+++ b/tests/player.py
@@ -2,7 +2,8 @@
 
 Time stands still but for `after`, and every connection lies in memory, so a play has one outcome.  A line is:
 
-    edge TOML              what deploy/edge.toml would say (first line only)
+    edge TOML              what deploy/edge.toml would say (first lines only)
+    config JSON            what the configuration says on top of CONFIG (first lines only)
     listen ADDRESS NAME    (an address to which dials succeed; the program's connection there is called NAME)
     refuse ADDRESS         dials to it are refused from now on
     connect NAME ADDRESS   a peer connects to where the program listens
@@ -136,7 +137,7 @@
         self.links: dict[str, MemoryLink] = {}
 
     def listen(self, address: Address, serve: Callable[[Link], Coroutine],
-               make_room: Callable[[], bool]) -> Callable[[], None]:
+               make_room: Callable[[], bool], urgent: bool = False) -> Callable[[], None]:
         self.served[address] = serve
         return lambda: None
 
@@ -177,8 +178,9 @@
 
     def start(self) -> App:
         if self.app is None:
-            self.app = App(config_from(CONFIG), edge_from(tomllib.loads(self.edge), "edge"),
-                           self.network, self.log, lambda: config_from({**CONFIG, **self.changes}))
+            edge = edge_from(tomllib.loads(self.edge), "edge")
+            self.app = App(config_from({**CONFIG, **self.changes}), edge, self.network, self.log,
+                           lambda: config_from({**CONFIG, **self.changes}))
             self.loop.on_fault = None  # a fault fails the test
         return self.app
 
@@ -252,6 +254,9 @@
         if line.startswith("edge "):
             player.edge += line[5:] + "\n"
             continue
+        if line.startswith("config "):
+            player.changes = json.loads(line[7:])
+            continue
         try:
             player.step(line)
         except AssertionError as error:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -287,3 +287,23 @@
     for number in range(2 * BUSY_MOST):
         app.core.control._is_busy(START, number, answers=1.0)
     assert len(app.core.control.busy) == BUSY_MOST
+
+
+def test_the_second_address_comes_from_the_environment_before_the_file(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_bytes(orjson.dumps(CONFIG | {"admin": "127.0.0.1:9470"}))
+    assert read_config({"LB_CONFIG": str(path)}).admin == ("127.0.0.1", 9470)
+    assert read_config({"LB_CONFIG": str(path), "LB_ADMIN": "127.0.0.1:9471"}).admin == ("127.0.0.1", 9471)
+    assert config_from(CONFIG).admin is None
+
+
+def test_what_a_listener_accepts_is_counted_before_the_next() -> None:
+    """The bound of connections was looked at only after all that one turn accepts."""
+    loop, counted = Loop(lambda: 0.0), list[int]()
+
+    def serve(number: int) -> Any:
+        counted.append(number)
+        yield from loop.sleep(1.0)
+
+    loop.start(serve(1))
+    assert counted == [1]
