--- a/ospreyvale/program/app.py
+++ b/ospreyvale/program/app.py
@@ -20,14 +20,16 @@
 from ospreyvale.program.edge import Edge, read_edge
 from ospreyvale.program.eventlog import EventLog
 from ospreyvale.program.figures import Figures
+from ospreyvale.program.handover import Incumbent, Node, Successor
 from ospreyvale.program.http import HttpFront, OtlpExporter, Routes, counters_routes
 from ospreyvale.program.isup_exchanges import IsupExchanges
 from ospreyvale.program.m3ua_exchanges import M3uaExchanges
 from ospreyvale.program.m3ua_front import M3uaFront
 from ospreyvale.program.sip_front import SipFront
 from ospreyvale.routing.core import Core
+from ospreyvale.transport.local import dial_local, listen_local
 from ospreyvale.transport.loop import READ, Coroutine, Loop
-from ospreyvale.transport.network import Address, Dialer, Link, Network
+from ospreyvale.transport.network import Address, Dialer, Link, Listening, Network
 
 EDGE = Path("deploy/edge.toml")
 LINGER_MS = 750.0  # set-ups may still come for 0.6 s after SIGTERM
@@ -48,15 +50,17 @@
     """What the program needs of the network."""
 
     def listen(self, address: Address, serve: Callable[[Link], Coroutine],
-               make_room: Callable[[], bool], urgent: bool = False) -> Callable[[], None]: ...
+               make_room: Callable[[], bool], urgent: bool = False, fd: int | None = None) -> Listening: ...
+
+    def resumed(self, fd: int) -> Link: ...
 
 
 class App:
     """One session controller."""
 
     def __init__(self, config: Config, edge: Edge, network: Edges, log: Logger,
-                 reread: Callable[[], Config]) -> None:
-        self.reread = reread
+                 reread: Callable[[], Config], shared: Path | None = None) -> None:
+        self.reread, self.network = reread, network
         self.config, self.loop, self.log = config, network.loop, log
         loop = network.loop
         self.core = Core(loop, config.settings, config.drain_grace_ms, log)
@@ -75,28 +79,59 @@
                             self.exchanges.take, log)
         if edge.m3ua.exchanges:
             M3uaExchanges(network, self.core, edge.m3ua, config.connect_timeout_ms, self.counters, log)
-        listens: list[tuple[Address, Callable[[Link], Coroutine]]] = [(config.listen, self.sip.serve)]
+        self.serves: dict[Address, Callable[[Link], Coroutine]] = {config.listen: self.sip.serve}
         if edge.m3ua.listen is not None:
             m3ua = M3uaFront(loop, self.core, edge.m3ua, config.classes, patience_ms, config.settings.seed,
                              self.counters, log, self.drain)
-            listens.append((edge.m3ua.listen, m3ua.serve))
+            self.serves[edge.m3ua.listen] = m3ua.serve
         if edge.otlp.endpoint is not None:
             OtlpExporter(network, edge.otlp, edge.otlp.endpoint, config.name, self.figures, self.counters,
                          log)
-        self.stops = [network.listen(address, serve, self.sip.make_room) for address, serve in listens]
-        self.stopping = False
+        self.listeners: dict[Address, Listening] = {}  # where callers connect
+        self.beside: list[Listening] = []  # where operators call
+        self.stopping = self.ready = False
         if edge.counters is not None:
             self._listen_http(network, edge.counters, counters_routes(self.figures))
         if config.admin is not None:
-            self._listen_http(network, config.admin, Admin(self.kept, self.drain, lambda: True).routes)
+            admin = Admin(self.kept, self.drain, lambda: self.ready and not self.incumbent.handed)
+            self._listen_http(network, config.admin, admin.routes)
         loop.on_fault = self._fault
-        log("started", listen=f"{config.listen[0]}:{config.listen[1]}", exchanges=len(self.exchanges.far))
+        self.shared = shared / f"{config.name}.handover" if shared is not None else None
+        self.stop_shared: Callable[[], None] = lambda: None
+        node = Node(loop, self.core, self.sip, self.exchanges, network, lambda: self.bus.offset,
+                    self.listeners, self._listen, self.drain, log)
+        self.incumbent = Incumbent(node, self._end)
+        channel = dial_local(loop, self.shared) if self.shared is not None else None
+        if channel is None:
+            self._ready()
+        else:
+            loop.spawn(Successor(node, channel, self._ready).run())
+        log("started", listen=f"{config.listen[0]}:{config.listen[1]}", exchanges=len(self.exchanges.far),
+            replaces=channel is not None)
+
+    def _listen(self, address: Address, fd: int | None = None) -> None:
+        """Take callers there, on the listening socket of the process before where it gave one."""
+        if address in self.serves:
+            self.listeners[address] = self.network.listen(address, self.serves[address], self.sip.make_room,
+                                                          fd=fd)
+        elif fd is not None:
+            os.close(fd)
+
+    def _ready(self) -> None:
+        """Clients are taken from here on, and a process that replaces this one is heard."""
+        for address in self.serves:
+            if address not in self.listeners:
+                self._listen(address)
+        self.ready = True
+        if self.shared is not None:
+            self.stop_shared = listen_local(self.loop, self.shared, self.incumbent.serve)
+        self.log("ready")
 
     def _listen_http(self, network: Edges, address: Address, routes: Routes) -> None:
         """A listener of its own, read first: no call there waits behind callers or for their descriptors."""
         front = HttpFront(network, routes, self.counters)
-        self.stops.append(network.listen(address, front.serve,
-                                         lambda: front.make_room() or self.sip.make_room(), urgent=True))
+        self.beside.append(network.listen(address, front.serve,
+                                          lambda: front.make_room() or self.sip.make_room(), urgent=True))
 
     def stop(self) -> None:
         """SIGTERM: take what still comes for a while, answer all of it, then end."""
@@ -141,8 +176,12 @@
         if self.core.context.table.unanswered:
             self.loop.at(self.loop.now + CHECK_MS, self._end_when_answered)
             return
-        for stop in self.stops:
-            stop()
+        self._end()
+
+    def _end(self) -> None:
+        for listener in [*self.listeners.values(), *self.beside]:
+            listener.close()
+        self.stop_shared()
         self.loop.running = False
 
     def _fault(self, fault: BaseException) -> None:
@@ -189,7 +228,9 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (granted, most))
         loop = Loop()
         log = EventLog(loop.clock, config.name)
-        app = App(config, read_edge(EDGE), Network(loop), log, lambda: read_config(environment))
+        shared = environment.get("TMPDIR")
+        app = App(config, read_edge(EDGE), Network(loop), log, lambda: read_config(environment),
+                  Path(shared) if shared else None)
     except (ConfigError, OSError) as error:
         print(f"ospreyvale: {error}", file=sys.stderr)
         return 2
--- a/ospreyvale/program/isup_exchanges.py
+++ b/ospreyvale/program/isup_exchanges.py
@@ -17,7 +17,7 @@
 from ospreyvale.routing.context import Log
 from ospreyvale.routing.core import Core
 from ospreyvale.routing.stages.relay import End
-from ospreyvale.routing.state import SetUpOrder
+from ospreyvale.routing.state import CallState, SetUpOrder
 from ospreyvale.transport.loop import Coroutine
 from ospreyvale.transport.network import Dialer, Link
 from ospreyvale.transport.pool import Peer
@@ -138,6 +138,25 @@
                 line.link.close()
                 self._lost(far, line)
 
+    # ---- between two processes ----
+
+    @property
+    def up(self) -> bool:
+        """Whether a line to each exchange is up."""
+        return all(far.line is not None for far in self.far.values())
+
+    def knows(self, state: CallState) -> bool:
+        """Whether the call stands at an exchange of this kind: any connection there may end it."""
+        return state.out is not None and state.out.port is self
+
+    def unheard(self) -> list[tuple[str, int]]:
+        """Releases that wait for a line, by exchange."""
+        return [(far.name.decode(), call) for far in self.far.values() for call in far.releases]
+
+    def release_unheard(self, releases: list[tuple[str, int]]) -> None:
+        for name, call in releases:
+            self.release(call, name.encode())
+
     # ---- what the core orders (ExchangePort) ----
 
     def set_up(self, order: SetUpOrder) -> None:
--- a/ospreyvale/program/sip_front.py
+++ b/ospreyvale/program/sip_front.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 from collections import Counter, OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass
 
 from ospreyvale.program.drain import Drain
 from ospreyvale.program.unfinished import Unfinished
 from ospreyvale.protocol import sip
 from ospreyvale.protocol.errors import ProtocolError
+from ospreyvale.protocol.handover import data as data_of
+from ospreyvale.protocol.handover import text
 from ospreyvale.routing import interface as i
 from ospreyvale.routing.context import Log
 from ospreyvale.routing.core import Core
@@ -22,6 +26,18 @@
 FAULTS_MOST = 32  # refused for their form in a row on one connection, before it is closed
 
 
+@dataclass(frozen=True, slots=True)
+class Handed:
+    """One connection from callers on its way to another process; bytes as text (Latin-1)."""
+
+    unsent: str
+    half: str  # read of a message, and not its end
+    asked: bool  # whether it has brought a set-up
+    since: float  # it has been silent, or inside a message, since then; 0: it is not
+    open: list[tuple[int, dict[str, list[str]]]]  # set-ups, with what their answers repeat
+    standing: list[int]
+
+
 class Caller:
     """One connection from callers."""
 
@@ -44,7 +60,8 @@
         self.loop, self.core, self.name, self.drain = loop, core, name, drain
         drain.sweeps.append(self._send_away)
         self.customers, self.widest = frozenset(customers), widest
-        self.most = max(1, sockets - RESERVED)  # connections from callers at once
+        self.sockets = sockets
+        self.share(1)
         self.classes = {text: place for place, text in enumerate(classes)}
         self.patience_ms, self.counters, self.log = patience_ms, counters, log
         self.callers: OrderedDict[Caller, None] = OrderedDict()  # that have sent set-ups, latest last
@@ -58,7 +75,6 @@
     def serve(self, link: Link) -> Coroutine:
         """One connection, until the peer ends its side."""
         caller = Caller(link)
-        reader = caller.reader
         if len(self.idle) + len(self.callers) >= self.most and not self.make_room():
             self.counters["connections_refused"] += 1
             link.close()
@@ -66,6 +82,55 @@
         self.idle[caller] = None
         self.unfinished.begin(caller)
         caller.active_at = self.loop.now
+        yield from self._converse(caller)
+
+    def share(self, processes: int) -> None:
+        """So many processes have the descriptors together, and the others no callers: those are here."""
+        self.most = max(1, self.sockets - processes * RESERVED)  # connections from callers at once
+
+    def hand_over(self) -> Iterator[tuple[int, Handed]]:
+        """Every connection, with its descriptor; none is left here."""
+        ended = [caller for caller in self.at.values() if caller.ended]
+        standing: dict[Caller, list[int]] = {}
+        for call, caller in self.at.items():
+            if call not in caller.open:
+                standing.setdefault(caller, []).append(call)
+        since, asked = dict(self.unfinished.since), set(self.callers)
+        callers = dict.fromkeys([*since, *self.idle, *self.callers, *ended])
+        self.at.clear()
+        self.releases.clear()
+        for caller in callers:
+            open_here, caller.open = caller.open, {}
+            detached = caller.link.detach()
+            if detached is not None:
+                fd, unsent = detached
+                yield fd, Handed(text(unsent), text(caller.reader.rest), caller in asked or caller.ended,
+                                 since.get(caller, 0.0), [
+                    (call, {name: message.headers[name] for name in sip.COPIED if name in message.headers})
+                    for call, message in open_here.items()], standing.get(caller, []))
+
+    def resume(self, link: Link, handed: Handed) -> Coroutine:
+        """A connection that another process had, from where that one was."""
+        caller = Caller(link)
+        caller.active_at = self.loop.now
+        (self.callers if handed.asked else self.idle)[caller] = None
+        if handed.since:
+            self.unfinished.since[caller] = handed.since
+        for call, headers in handed.open:
+            caller.open[call] = sip.Message(headers=headers)
+        for call in [*caller.open, *handed.standing]:
+            self.at[call] = caller
+            caller.calls += 1
+        if handed.unsent:
+            link.send(data_of(handed.unsent))
+        for _ in caller.reader.feed(data_of(handed.half)):
+            pass  # no message is whole in it
+        if handed.asked:
+            self._send_releases(caller)
+        yield from self._converse(caller)
+
+    def _converse(self, caller: Caller) -> Coroutine:
+        link, reader = caller.link, caller.reader
         while data := (yield from link.receive()):
             caller.active_at = self.loop.now
             try:
--- a/ospreyvale/protocol/sip.py
+++ b/ospreyvale/protocol/sip.py
@@ -101,6 +101,11 @@
         """Whether part of a message has come, and not the rest."""
         return bool(self._buffer)
 
+    @property
+    def rest(self) -> bytes:
+        """What has come of a message that is not whole."""
+        return bytes(self._buffer)
+
     def feed(self, data: bytes) -> Iterator[Message]:
         """Add bytes; every whole message that they complete."""
         self._buffer += data
--- a/ospreyvale/routing/control.py
+++ b/ospreyvale/routing/control.py
@@ -131,6 +131,7 @@
         self.busy: dict[int, tuple[Hold, float, float]] = {}  # by number: hold, count, when
         # By destination: tandems, those that served last first, with a crankback's end and the next gap.
         self.routes: dict[int, OrderedDict[Far, tuple[float, float]]] = {}
+        self.handed_on = False  # another instance has this one's share of cold exchanges
         self.out: list[i.Action] = []
 
     # ---- events -----------------------------------------------------------------------------
@@ -145,6 +146,8 @@
                 self._call(now, event)
             case i.Standing():
                 self._standing(now, event)
+            case i.Adopted():
+                self._adopted(now, event)
             case i.Ended():
                 self._ended(now, event)
             case i.Probed():
@@ -202,6 +205,14 @@
         else:
             self._decide(now, record)
 
+    def _adopted(self, now: float, event: i.Adopted) -> None:
+        line = self.roster.get(event.address)
+        if line is not None and line.number in self.far:
+            record = Record(event.call, now, self._kind(event.call), 0.0)
+            record.out, record.stands = self.far[line.number], True
+            self.calls[event.call.call] = record
+            self.standing += 1
+
     def _standing(self, now: float, event: i.Standing) -> None:
         record = self.calls.get(event.call)
         if record is None or record.out is None or record.stands:
@@ -298,6 +309,24 @@
         return sum(line.condition is not i.Condition.READY or line.number in shut
                    for line in self.roster.values())
 
+    def hand_on(self) -> i.Learned:
+        """What has been learned; the share of cold exchanges goes with it, and none is left here."""
+        self.handed_on = True
+        return i.Learned(self.learned, self.rate, self.peak, self.carried, tuple(
+            i.FarLearned(far.number, far.address, far.started, far.wait, far.heard, far.least, far.samples,
+                         tuple(far.recent)) for far in [self.own, *self.far.values()]))
+
+    def take_on(self, learned: i.Learned) -> None:
+        """Go on from what the instance before has learned, of the processors that still run."""
+        self.learned, self.rate = learned.set_up_rate, learned.rate
+        self.peak, self.carried = learned.peak, learned.carried
+        for known in learned.far:
+            far = self.own if known.number == self.s.here else self.far.get(known.number)
+            if far is not None and (far.address, far.started) == (known.address, known.started):
+                far.wait, far.heard = known.wait, known.heard
+                far.least, far.samples = known.least, known.samples
+                far.recent = deque([*known.recent, *far.recent])
+
     # ---- measures ---------------------------------------------------------------------------
 
     def _report(self, far: Far, report: tuple[float, ...]) -> None:
@@ -491,7 +520,7 @@
         while end.recent and end.recent[0] <= now - window:
             end.recent.popleft()
         turn = end.started + window * self.s.index / self.s.instances
-        if now < turn or len(end.recent) >= max(1, int(bears * share)):
+        if self.handed_on or now < turn or len(end.recent) >= max(1, int(bears * share)):
             return False
         end.recent.append(now)
         return True
--- a/ospreyvale/routing/core.py
+++ b/ospreyvale/routing/core.py
@@ -19,7 +19,16 @@
 from ospreyvale.routing.stages.route import route
 from ospreyvale.routing.stages.send import call_off, send
 from ospreyvale.routing.stages.take_in import take_in
-from ospreyvale.routing.state import CallerPort, CallState, Clock, ExchangePort, Final, Offer
+from ospreyvale.routing.state import (
+    Attempt,
+    CallerPort,
+    CallState,
+    Clock,
+    Elsewhere,
+    ExchangePort,
+    Final,
+    Offer,
+)
 from ospreyvale.routing.table import CallTable
 
 
@@ -31,6 +40,7 @@
         table = CallTable(settings.release_ms, settings.max_attempts, drain_grace_ms)
         self.context = Context(clock, table, Roster(), self._tell, log)
         self.home: CallerPort | None = None  # who hears of calls that stood before a restart
+        self.elsewhere: Elsewhere | None = None  # the process that this one replaces, while it has calls
         self._events: deque[i.Event] = deque()
         self._busy = False
 
@@ -38,6 +48,9 @@
 
     def offer(self, offer: Offer, caller: CallerPort) -> bool:
         """A call is offered; False when its id is in use and nothing will come of it."""
+        if self.elsewhere is not None and self.elsewhere.holds(offer.call):
+            self.context.counters["offers_repeated"] += 1
+            return False
         state = take_in(self.context, offer, caller, self._expire)
         if state is not None:
             admit(self.context, state)
@@ -46,6 +59,8 @@
     def give_up(self, call: int) -> None:
         """The caller stops waiting, or its connection is gone: no answer is owed any more."""
         state = self.context.table.calls.get(call)
+        if state is None and self.elsewhere is not None:
+            self.elsewhere.give_up(call)
         if state is None or state.final is not None:
             return
         self._abandon(state)
@@ -53,6 +68,8 @@
     def hang_up(self, call: int) -> bool:
         """The caller's side ends a call that stands; False when there is none."""
         state = self.context.table.calls.get(call)
+        if state is None and self.elsewhere is not None:
+            return self.elsewhere.hang_up(call)
         if state is None or not state.standing:
             return False
         relay_hang_up(self.context, state)
@@ -74,12 +91,16 @@
         state = self._out(call, exchange)
         if state is not None:
             relay_end(self.context, state, end)
-        elif call in self.context.table.calls or self.context.table.was_here(call):
-            self.context.counters["late_ends"] += 1
-        elif self.home is not None and end.outcome in (i.Outcome.OK, i.Outcome.RESET):
-            # After a restart the calls of the life before are unknown, but their clients are not gone.
-            self.context.counters["orphans_released"] += 1
-            self.home.release(call, end.outcome)
+        else:
+            self._ended_unknown(call, end.outcome)
+
+    def over(self, call: int, outcome: i.Outcome) -> None:
+        """Another process heard that a call that stood has ended."""
+        state = self.context.table.calls.get(call)
+        if state is not None and state.standing:
+            relay_end(self.context, state, End(outcome))
+        else:
+            self._ended_unknown(call, outcome)
 
     def group(self, exchange: bytes, report: tuple[float, ...]) -> None:
         """The free circuits toward an exchange have changed."""
@@ -102,8 +123,29 @@
             if state.out is not None and state.out.line.address == exchange and state.out.sent_at < before:
                 relay_end(self.context, state, End(i.Outcome.RESET))
 
+    # ---- between two processes ----
+
+    def adopt(self, offer: Offer, caller: CallerPort, exchange: bytes, number: int, sent_at: float) -> None:
+        """A call that stands, from the process that this one replaces."""
+        entry = self.context.roster.entries.get(exchange)
+        if entry is None:  # its exchange has gone meanwhile, and cut it
+            caller.release(offer.call, i.Outcome.RESET)
+            return
+        attempt = Attempt(number, entry.line, entry.port, sent_at)
+        if self.context.table.adopt(self.context.clock.now, offer, caller, attempt) is not None:
+            self._tell(i.Adopted(offer.asked(), exchange))
+
     # ---- within ----
 
+    def _ended_unknown(self, call: int, outcome: i.Outcome) -> None:
+        held = self.elsewhere is not None and self.elsewhere.holds(call)  # it hears of that by itself
+        if held or call in self.context.table.calls or self.context.table.was_here(call):
+            self.context.counters["late_ends"] += 1
+        elif self.home is not None and outcome in (i.Outcome.OK, i.Outcome.RESET):
+            # After a restart the calls of the life before are unknown, but their clients are not gone.
+            self.context.counters["orphans_released"] += 1
+            self.home.release(call, outcome)
+
     def _out(self, call: int, exchange: bytes) -> CallState | None:
         state = self.context.table.calls.get(call)
         if state is None or state.out is None or state.out.line.address != exchange:
--- a/ospreyvale/routing/interface.py
+++ b/ospreyvale/routing/interface.py
@@ -124,6 +124,14 @@
     cut: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Adopted:
+    """A call that stands came over from the process that this one replaces."""
+
+    call: Call
+    address: Address
+
+
 @dataclass(frozen=True, slots=True)
 class Standing:
     """The attempt's set-up is complete: the call stands."""
@@ -181,7 +189,32 @@
     payload: bytes
 
 
-Event = Roster | Call | Standing | Ended | Abandoned | Probed | Woken | PeerMessage
+@dataclass(frozen=True, slots=True)
+class FarLearned:
+    """What was learned of one exchange."""
+
+    number: int
+    address: Address
+    started: float
+    wait: float
+    heard: float
+    least: float
+    samples: int
+    recent: tuple[float, ...]  # set-ups sent while it was cold
+
+
+@dataclass(frozen=True, slots=True)
+class Learned:
+    """What an instance has learned, for the one that takes its place."""
+
+    set_up_rate: float  # that the own processor bears
+    rate: float
+    peak: float
+    carried: float
+    far: tuple[FarLearned, ...]
+
+
+Event = Roster | Call | Adopted | Standing | Ended | Abandoned | Probed | Woken | PeerMessage
 
 
 # ---- actions ------------------------------------------------------------------------------------
--- a/ospreyvale/routing/state.py
+++ b/ospreyvale/routing/state.py
@@ -36,6 +36,11 @@
     transit: bool = False
     cut: bool = False
 
+    def asked(self) -> i.Call:
+        """What the module hears of it."""
+        return i.Call(self.call, self.destination, self.number, self.patience_ms, self.width, self.via,
+                      self.call_class, transit=self.transit, cut=self.cut)
+
 
 class CallerPort(Protocol):
     """How the core speaks to the side that a call came from."""
@@ -64,6 +69,14 @@
     def probe(self, exchange: bytes) -> None: ...
 
 
+class Elsewhere(Protocol):
+    """Another process that holds calls whose callers are here."""
+
+    def holds(self, call: int) -> bool: ...
+    def give_up(self, call: int) -> None: ...
+    def hang_up(self, call: int) -> bool: ...
+
+
 class Timer(Protocol):
     """A call that is due, and can be cancelled."""
 
--- a/ospreyvale/routing/table.py
+++ b/ospreyvale/routing/table.py
@@ -37,6 +37,28 @@
         self.unanswered += 1
         return state
 
+    def adopt(self, now: float, offer: Offer, caller: CallerPort, attempt: Attempt) -> CallState | None:
+        """A call that stood in another process; None when it is here, or over."""
+        if offer.call in self.calls or offer.call in self._over:
+            return None
+        state = CallState(offer, caller, now, now, attempt.number + 1, attempt, 0.0, Final.STANDS, True)
+        self.calls[offer.call] = state
+        self.standing += 1
+        return state
+
+    def give_away(self, state: CallState) -> None:
+        """Another process has the call that stands: it is neither here nor over."""
+        del self.calls[state.call]
+        self.standing -= 1
+
+    def over(self) -> list[int]:
+        """The calls remembered as over, the latest last."""
+        return list(self._over)
+
+    def remember(self, calls: list[int]) -> None:
+        """Calls that are over, as another process knows."""
+        self._over.update(dict.fromkeys(calls[-REMEMBERED:]))
+
     def may_send(self, now: float, state: CallState, entry: Entry) -> bool:
         """The rules of one set-up."""
         away = entry.line.condition is not i.Condition.READY
--- a/ospreyvale/transport/network.py
+++ b/ospreyvale/transport/network.py
@@ -32,6 +32,7 @@
     def receive(self) -> Generator[Signal, None, bytes]: ...
     def send(self, data: bytes) -> bool: ...
     def close(self) -> None: ...
+    def detach(self) -> tuple[int, bytes] | None: ...
 
 
 class Connection:
@@ -94,6 +95,15 @@
             self.loop.at(self.loop.now + CLOSE_MS, self._end)
         self._closing = True
 
+    def detach(self) -> tuple[int, bytes] | None:
+        """Its descriptor and what is queued, for another process; None where it has ended or is to end."""
+        if self.closed or self._closing:
+            return None
+        self.closed = True
+        self.loop.unwatch(self.sock.fileno())
+        self.loop.fire(self._readable)
+        return self.sock.detach(), bytes(self._queue)
+
     def _flush(self) -> None:
         try:
             while self._queue:
@@ -134,48 +144,82 @@
             self.loop.fire(self._readable)
 
 
+class Listening(Protocol):
+    """What users of a listener see of it."""
+
+    def pause(self) -> None: ...
+    def resume(self) -> None: ...
+    def fileno(self) -> int: ...
+    def close(self) -> None: ...
+
+
+class Listener:
+    """Accepts connections and starts `serve` on each.
+
+    An urgent one and its connections are read first in each turn, before any crowd at another.
+    """
+
+    def __init__(self, loop: Loop, sock: socket.socket, serve: Callable[[Link], Coroutine],
+                 make_room: Callable[[], bool], urgent: bool) -> None:
+        self.loop, self.sock, self.serve = loop, sock, serve
+        self.make_room, self.urgent, self.paused = make_room, urgent, False
+        sock.setblocking(False)
+        self._watch()
+
+    def fileno(self) -> int:
+        return self.sock.fileno()
+
+    def pause(self) -> None:
+        """Leave what comes in the queue."""
+        self.paused = True
+        self.loop.unwatch(self.sock.fileno())
+
+    def resume(self) -> None:
+        self.paused = False
+        self._watch()
+
+    def close(self) -> None:
+        if self.sock.fileno() >= 0:
+            self.loop.unwatch(self.sock.fileno())
+            self.sock.close()
+
+    def _watch(self) -> None:
+        if self.sock.fileno() >= 0 and not self.paused:
+            self.loop.watch(self.sock.fileno(), READ, self._accept, self.urgent)
+
+    def _accept(self, _: int) -> None:
+        for _ in range(ACCEPTS_A_TURN):
+            try:
+                fresh = self.sock.accept()[0]
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                if error.errno not in _NO_DESCRIPTOR:
+                    raise
+                if not self.make_room():  # out of descriptors with none to spare: leave the rest queued
+                    self.loop.unwatch(self.sock.fileno())
+                    self.loop.at(self.loop.now + FULL_PAUSE_MS, self._watch)
+                    return
+                continue
+            self.loop.start(self.serve(Connection(self.loop, fresh, self.urgent)))
+
+
 class Network:
     """Listens and dials on one loop."""
 
     def __init__(self, loop: Loop) -> None:
         self.loop = loop
 
-    def listen(self, address: Address, serve: Callable[[Link], Coroutine],
-               make_room: Callable[[], bool], urgent: bool = False) -> Callable[[], None]:
-        """Accept connections and start `serve` on each; gives what stops listening.
+    def listen(self, address: Address, serve: Callable[[Link], Coroutine], make_room: Callable[[], bool],
+               urgent: bool = False, fd: int | None = None) -> Listening:
+        """A listener at the address, or on the listening socket that another process had there."""
+        sock = socket.create_server(address, backlog=BACKLOG, reuse_port=True) if fd is None \
+            else socket.socket(fileno=fd)
+        return Listener(self.loop, sock, serve, make_room, urgent)
 
-        An urgent listener and its connections are read first in each turn, before any crowd at another.
-        """
-        sock = socket.create_server(address, backlog=BACKLOG, reuse_port=False)
-        sock.setblocking(False)
-
-        def accept(_: int) -> None:
-            for _ in range(ACCEPTS_A_TURN):
-                try:
-                    fresh = sock.accept()[0]
-                except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                    return
-                except OSError as error:
-                    if error.errno not in _NO_DESCRIPTOR:
-                        raise
-                    if not make_room():  # out of descriptors with none to spare: leave the rest queued
-                        self.loop.unwatch(sock.fileno())
-                        self.loop.at(self.loop.now + FULL_PAUSE_MS, resume)
-                        return
-                    continue
-                self.loop.start(serve(Connection(self.loop, fresh, urgent)))
-
-        def resume() -> None:
-            if sock.fileno() >= 0:
-                self.loop.watch(sock.fileno(), READ, accept, urgent)
-
-        def stop() -> None:
-            if sock.fileno() >= 0:
-                self.loop.unwatch(sock.fileno())
-                sock.close()
-
-        resume()
-        return stop
+    def resumed(self, fd: int) -> Link:
+        """A connection that another process had."""
+        return Connection(self.loop, socket.socket(fileno=fd))
 
     def dial(self, address: Address, timeout_ms: float,
              urgent: bool = False) -> Generator[Signal, None, Link | None]:
--- a/tests/player.py
+++ b/tests/player.py
@@ -34,7 +34,7 @@
 from ospreyvale.program.config import config_from
 from ospreyvale.program.edge import edge_from
 from ospreyvale.transport.loop import Coroutine, Loop, Signal
-from ospreyvale.transport.network import Address, Link
+from ospreyvale.transport.network import Address, Link, Listening
 
 START = 1_000_000.0
 
@@ -126,6 +126,9 @@
         self.closed = True
         self.loop.fire(self.readable)
 
+    def detach(self) -> tuple[int, bytes] | None:
+        return None
+
 
 class MemoryNetwork:
     """Dials and listens within the script."""
@@ -137,9 +140,19 @@
         self.links: dict[str, MemoryLink] = {}
 
     def listen(self, address: Address, serve: Callable[[Link], Coroutine],
-               make_room: Callable[[], bool], urgent: bool = False) -> Callable[[], None]:
+               make_room: Callable[[], bool], urgent: bool = False, fd: int | None = None) -> Listening:
         self.served[address] = serve
-        return lambda: None
+        return self
+
+    def pause(self) -> None: ...
+    def resume(self) -> None: ...
+    def close(self) -> None: ...
+
+    def fileno(self) -> int:
+        return -1
+
+    def resumed(self, fd: int) -> Link:
+        raise NotImplementedError
 
     def dial(self, address: Address, timeout_ms: float,
              urgent: bool = False) -> Generator[Signal, None, Link | None]:
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,298 @@
+"""Replacing the process in service: two programs on one loop, real sockets, and time that the tests move."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ospreyvale.program.app import App
+from ospreyvale.program.config import config_from
+from ospreyvale.program.edge import edge_from
+from ospreyvale.protocol import handover, isup, sip
+from ospreyvale.protocol.errors import ProtocolError
+from ospreyvale.protocol.handover import Reader, encode
+from ospreyvale.protocol.isup import Code, Message, Type
+from ospreyvale.routing import interface as i
+from ospreyvale.routing.control import Control
+from ospreyvale.routing.settings import Params, settings_from
+from ospreyvale.transport.local import LONGEST_PATH, Channel, dial_local, listen_local
+from ospreyvale.transport.loop import Coroutine, Loop
+from ospreyvale.transport.network import Link, Network
+from tests.player import CONFIG, SETTINGS, Events, target
+from tests.standins import until
+from tests.test_loopback import VirtualTime, free_address, text
+
+
+class Place:
+    """One exchange, one caller's connection, and the programs that serve between them."""
+
+    def __init__(self, shared: Path) -> None:
+        time = VirtualTime()
+        self.network = Network(Loop(time.clock, time))
+        self.loop, self.shared = self.network.loop, shared
+        self.links: list[Link] = []  # to the exchange, the latest last
+        self.arrived: list[Message] = []
+        self.heard: list[sip.Message] = []
+        self.listen, own, far, bus = (free_address() for _ in range(4))
+        for address in (own, far):
+            self.network.listen(address, self._exchange, lambda: False)
+        targets = [target(n) | {"endpoint": text(address)} for n, address in enumerate((own, far))]
+        self.config: dict[str, Any] = CONFIG | {
+            "listen": text(self.listen), "bus": text(bus),
+            "known": {"offset": 1, "batch": [{"offset": 1, "topology": {"all": True, "targets": targets}}]}}
+        self.logs: list[Events] = []
+        self.old = self.start()
+        self.turn(lambda: self.old.exchanges.up)
+        self.caller = self.dial()
+
+    def start(self) -> App:
+        self.logs.append(Events())
+        app = App(config_from(self.config), edge_from({}, "edge"), self.network, self.logs[-1],
+                  lambda: config_from(self.config), self.shared)
+        self.loop.on_fault = None
+        return app
+
+    def replace(self) -> App:
+        app = self.start()
+        self.turn(lambda: app.ready)
+        return app
+
+    def turn(self, done: Any) -> None:
+        assert until(self.loop, done, 3_000.0)
+
+    def events(self, place: int) -> list[str]:
+        return [event for event, _ in self.logs[place]]
+
+    def dial(self) -> Link:
+        found: list[Link] = []
+
+        def run() -> Coroutine:
+            link = yield from self.network.dial(self.listen, 1000.0)
+            assert link is not None
+            found.append(link)
+            reader = sip.Reader()
+            while data := (yield from link.receive()):
+                self.heard.extend(reader.feed(data))
+
+        self.loop.spawn(run())
+        self.turn(lambda: found)
+        return found[0]
+
+    def _exchange(self, link: Link) -> Coroutine:
+        self.links.append(link)
+        reader = isup.Reader()
+        link.send(isup.encode(Message(Type.GROUP, 0, {Code.REPORT: b"x0:30;x1:30"})))
+        while data := (yield from link.receive()):
+            for message in reader.feed(data):
+                if message.type == Type.TEST:
+                    link.send(isup.encode(Message(Type.TESTED, message.call, {Code.CAUSE: b"\x01"})))
+                else:
+                    self.arrived.append(message)
+                    if message.type == Type.IAM:
+                        self.at = link
+
+    def say(self, method: str, call: int, link: Link | None = None) -> None:
+        (link or self.caller).send(request(method, call))
+
+    def answer(self, call: int) -> None:
+        self.at.send(isup.encode(Message(Type.ANM, call, {Code.DESCRIPTION: b"\xffd"})))
+
+    def stand(self, call: int) -> None:
+        self.say("INVITE", call)
+        self.turn(lambda: (Type.IAM, call) in self.there())
+        self.answer(call)
+        self.turn(lambda: (200, call) in self.said())
+
+    def there(self) -> list[tuple[int, int]]:
+        return [(message.type, message.call) for message in self.arrived]
+
+    def said(self) -> list[tuple[int | str, int]]:
+        return [(message.status or message.method, message.call) for message in self.heard]
+
+
+def request(method: str, call: int) -> bytes:
+    return (f"{method} sip:{call:016x}@net SIP/2.0\r\nCall-ID: {call:016x}\r\nCSeq: 1 {method}\r\n"
+            "Priority-Class: stock-check\r\nP-Trunk-Info: dest:1\r\nContent-Length: 0\r\n\r\n").encode()
+
+
+@pytest.fixture
+def place(tmp_path: Path) -> Iterator[Place]:
+    here = Place(tmp_path)
+    yield here
+    for app in [here.old]:
+        app._end()
+
+
+def test_what_was_open_is_answered_and_what_stood_is_released_through_the_new_process(place: Place) -> None:
+    place.stand(0xa1)
+    place.stand(0xa2)
+    for call in (0xb1, 0xb2, 0xb3):
+        place.say("INVITE", call)
+    place.turn(lambda: (Type.IAM, 0xb3) in place.there())
+    half, late = request("INVITE", 0xc1), place.dial()
+    late.send(half[:40])
+    place.turn(lambda: any(caller.reader.inside for caller in place.old.sip.idle))
+    new = place.replace()
+    assert not place.old.sip.callers and not place.old.sip.idle
+    # The rest of a half-written request is read by the new one.
+    late.send(half[40:])
+    place.turn(lambda: (Type.IAM, 0xc1) in place.there())
+    # Set-ups that the old one has open: answered; given up, which reaches their exchange; the same id again.
+    place.say("INVITE", 0xb1)
+    place.turn(lambda: (482, 0xb1) in place.said())
+    place.at = place.links[1]
+    place.answer(0xb1)
+    place.turn(lambda: (200, 0xb1) in place.said())
+    place.say("CANCEL", 0xb2)
+    place.turn(lambda: (Type.REL, 0xb2) in place.there())
+    # It stands now, and ends by the caller; the one before by the exchange, on the old line.
+    place.say("BYE", 0xb1)
+    place.turn(lambda: (Type.REL, 0xb1) in place.there())
+    place.links[1].send(isup.encode(Message(Type.REL, 0xa1, {Code.CAUSE: b"\x10"})))
+    place.turn(lambda: ("BYE", 0xa1) in place.said())
+    place.at.send(isup.encode(Message(Type.REL, 0xb3, {Code.CAUSE: b"\x11", Code.NOTE: b"number_busy"})))
+    place.turn(lambda: (503, 0xb3) in place.said())
+    # Nothing is open there any more: it ends, and what stood goes on.
+    place.turn(lambda: "replaced" in place.events(1))
+    place.links[-1].send(isup.encode(Message(Type.REL, 0xa2, {Code.CAUSE: b"\x10"})))
+    place.turn(lambda: ("BYE", 0xa2) in place.said())
+    # The same release once more, as on a line opened after it: nobody is told twice.
+    place.links[-1].send(isup.encode(Message(Type.REL, 0xa1, {Code.CAUSE: b"\x10"})))
+    place.turn(lambda: new.counters["late_ends"] == 1)
+    assert [event for event in place.said() if event[0] == "BYE"] == [("BYE", 0xa1), ("BYE", 0xa2)]
+    assert not new.sip.releases and new.core.control.standing == 0
+    new._end()
+
+
+def test_without_an_old_process_or_behind_a_stale_socket_it_listens_by_itself(tmp_path: Path) -> None:
+    stale = socket.socket(socket.AF_UNIX)
+    stale.bind(str(tmp_path / "n0.handover"))
+    stale.close()
+    place = Place(tmp_path)  # says nothing of a process before it
+    assert place.old.ready and "replaced" not in place.events(0)
+    place.stand(0xa1)
+    assert dial_local(place.loop, tmp_path / "n0.handover") is not None
+    place.old._end()
+
+
+def test_an_old_process_that_ends_midway(place: Place) -> None:
+    place.say("INVITE", 0xb1)
+    place.turn(lambda: (Type.IAM, 0xb1) in place.there())
+    new = place.replace()
+    assert place.old.incumbent.successor is not None
+    place.old.incumbent.successor.close()  # as by SIGKILL
+    place.turn(lambda: (504, 0xb1) in place.said())
+    assert place.events(1)[-1] == "replaced" and new.core.elsewhere is None
+    place.say("INVITE", 0xb1)  # the id is free again
+    place.turn(lambda: place.there().count((Type.IAM, 0xb1)) == 2)
+    new._end()
+
+
+def test_an_old_process_that_says_nothing_is_passed_over(tmp_path: Path, place: Place) -> None:
+    place.old.stop_shared()
+
+    def mute(channel: Channel) -> Coroutine:
+        while (yield from channel.receive())[0]:
+            pass
+
+    listen_local(place.loop, tmp_path / "n0.handover", mute)
+    new = place.replace()
+    assert "took_over" not in place.events(1)
+    assert not place.old.incumbent.handed
+    new._end()
+
+
+def test_a_new_process_that_fails_before_and_after_it_has_taken_over(place: Place) -> None:
+    place.stand(0xa1)
+    early = dial_local(place.loop, place.shared / "n0.handover")
+    assert early is not None
+    early.send(encode("hello"))
+    place.turn(lambda: place.old.incumbent.successor is not None)
+    early.close()  # it has said hello, and no more
+    place.turn(lambda: place.old.incumbent.successor is None)
+    assert "handed_over" not in place.events(0) and place.old.sip.callers
+    place.say("INVITE", 0xb0)
+    place.turn(lambda: (Type.IAM, 0xb0) in place.there())
+    new = place.replace()
+    assert place.old.incumbent.handed
+    place.say("INVITE", 0xb1)  # the new one's, and lost with it
+    new.core.elsewhere.channel.close()  # type: ignore[union-attr]
+    for listener in new.listeners.values():
+        listener.close()
+    place.turn(lambda: "took_back" in place.events(0))
+    place.turn(lambda: (Type.REL, 0xb0) in place.there())
+    place.caller = place.dial()
+    place.stand(0xa2)
+    # A call that had gone over is unknown here now, but its callers hear of its end.
+    place.links[1].send(isup.encode(Message(Type.REL, 0xa1, {Code.CAUSE: b"\x10"})))
+    place.turn(lambda: ("BYE", 0xa1) in place.said())
+
+
+def test_the_new_process_follows_the_bus_before_it_takes_over(place: Place) -> None:
+    place.old.bus.offset = 5
+    new = place.start()
+    until(place.loop, lambda: False, 300.0)
+    assert not new.ready
+    new.bus.offset = 5
+    place.turn(lambda: new.ready)
+    assert "handed_over" in place.events(0)
+    new._end()
+
+
+def test_what_was_learned_goes_over_and_the_share_of_cold_exchanges_with_it() -> None:
+    old, new = (Control(settings_from_tests()) for _ in range(2))
+    for control in (old, new):
+        control.handle(0.0, i.Roster(True, tuple(
+            i.Exchange(n, bytes([n]), i.Condition.READY, 1.0 if n == 1 else 0.0) for n in range(2))))
+    old.learned, old.peak = 7.0, 5.0
+    old.far[1].recent.append(1.0)
+    new.take_on(old.hand_on())
+    assert (new.learned, new.peak, list(new.far[1].recent)) == (7.0, 5.0, [1.0])
+    assert not old._bears(2.0, old.far[1])
+    # A processor that runs anew is another one: nothing of the old one counts for it.
+    again = Control(settings_from_tests())
+    again.handle(0.0, i.Roster(True, (i.Exchange(0, b"\x00", i.Condition.READY, 0.0),
+                                      i.Exchange(1, b"\x01", i.Condition.READY, 9.0))))
+    again.take_on(old.hand_on())
+    assert not again.far[1].recent
+
+
+def settings_from_tests() -> i.Settings:
+    return settings_from(Params(SETTINGS, "settings"), 1)
+
+
+def test_descriptors_and_bytes_come_in_order_and_foreign_frames_are_refused(tmp_path: Path) -> None:
+    time = VirtualTime()
+    loop = Loop(time.clock, time)
+    folder = tmp_path / ("x" * LONGEST_PATH)  # longer than a Unix socket's address
+    folder.mkdir()
+    got: list[tuple[bytes, int]] = []
+
+    def serve(channel: Channel) -> Coroutine:
+        while True:
+            chunk, fds = yield from channel.receive()
+            if not chunk:
+                break
+            got.extend((chunk, fd) for fd in fds or [-1])
+
+    stop = listen_local(loop, folder / "s", serve)
+    channel = dial_local(loop, folder / "s")
+    assert channel is not None
+    left, right = socket.socketpair()
+    channel.send(encode("connection", half=handover.text(b"\xff\n")), left.detach())
+    until(loop, lambda: bool(got), 100.0)
+    [frame] = Reader().feed(got[0][0])
+    assert handover.data(frame["half"]) == b"\xff\n"
+    with socket.socket(fileno=got[0][1]) as moved:
+        moved.send(b"x")
+        assert right.recv(1) == b"x"
+    right.close()
+    channel.close()
+    stop()
+    for noise in (b"{\n", b"[]\n", b"{}\n"):
+        with pytest.raises(ProtocolError):
+            list(Reader().feed(noise))
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -100,8 +100,8 @@
             peer.call(int(("01", "02", "20")[n % 3] + f"00{n:04}", 16), n // 2)
     assert until(loop, lambda: not app.core.context.table.calls, 30_000.0)
     until(loop, lambda: False, 500.0)
-    for stop in app.stops:
-        stop()
+    for listener in app.listeners.values():
+        listener.close()
     return journal, app
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -227,7 +227,7 @@
         asked.append(1)
         return False
 
-    stop = Network(loop).listen(address, serve, make_room)
+    listener = Network(loop).listen(address, serve, make_room)
     peer = socket.create_connection(address)
     right = socket.socket.accept
 
@@ -242,7 +242,7 @@
     loop.turn()
     loop.turn()
     assert len(served) == 1
-    stop()
+    listener.close()
     served[0].close()
     peer.close()
 
