Give up connections in order of need, bound them at each accept, give slow writers 2.4 s

In the code: make_room gave up a half-written set-up like a silent connection (sip_front.py), and one that it had closed was counted, and chosen again, until its coroutine ran. Changed: silent ones first, then those stopped inside a message for 1 s, then idle ones, then what is being written; what is given up is gone from the lists at once; an old process gives up what the new one has no room for. UNFINISHED_MS 2 s to 2.4 s, looked at each 0.1 s: set-ups are written over 2 s, and bad callers are owed an end in 3 s.

--- a/ospreyvale/program/handover.py
+++ b/ospreyvale/program/handover.py
@@ -102,6 +102,7 @@
         for (host, number), listener in node.listeners.items():
             listener.pause()
             channel.send(encode("listener", host=host, port=number), os.dup(listener.fileno()))
+        node.sip.share(2)  # the new process may not have more
         learned = node.core.control.hand_on()
         channel.send(encode("learned", over=table.over(), releases=list(node.sip.releases.items()),
                             unheard=node.exchanges.unheard(), **_flat(learned)))
@@ -144,6 +145,7 @@
             self.handed = False
             self.node.core.control.handed_on = False
             self.node.drain.end()
+            self.node.sip.share(1)
             self.node.core.home = self.node.sip
             for state in list(self.node.core.context.table.calls.values()):
                 if isinstance(state.caller, Forward):  # its caller's connection went with the successor
--- a/ospreyvale/program/sip_front.py
+++ b/ospreyvale/program/sip_front.py
@@ -22,6 +22,7 @@
 CAUSES = {i.Outcome.OK: 16, i.Outcome.RESET: 41}
 RELEASES_KEPT = 8_192  # releases that wait for a connection from callers
 RESERVED = 64  # descriptors for exchanges (four lines each), the bus, listeners and the program itself
+STOPPED_MS = 1_000.0  # nothing more of a message for so long: whoever writes slowly writes more often
 DRAIN_IDLE_MS = 500.0  # while clients are sent away, a connection that never brought a set-up may be quiet
 FAULTS_MOST = 32  # refused for their form in a row on one connection, before it is closed
 
@@ -61,14 +62,15 @@
         drain.sweeps.append(self._send_away)
         self.customers, self.widest = frozenset(customers), widest
         self.sockets = sockets
-        self.share(1)
         self.classes = {text: place for place, text in enumerate(classes)}
         self.patience_ms, self.counters, self.log = patience_ms, counters, log
         self.callers: OrderedDict[Caller, None] = OrderedDict()  # that have sent set-ups, latest last
         self.idle: OrderedDict[Caller, None] = OrderedDict()  # all others
+        self.silent: OrderedDict[Caller, None] = OrderedDict()  # without a byte yet, oldest first
         self.unfinished = Unfinished[Caller](loop, counters, lambda caller: bool(caller.open))
         self.at: dict[int, Caller] = {}  # the connection of each call that is here, until it is over
         self.releases: OrderedDict[int, int] = OrderedDict()  # cause by call, until one can be sent
+        self.share(1)
 
     # ---- connections ----
 
@@ -80,6 +82,7 @@
             link.close()
             return
         self.idle[caller] = None
+        self.silent[caller] = None
         self.unfinished.begin(caller)
         caller.active_at = self.loop.now
         yield from self._converse(caller)
@@ -92,6 +95,8 @@
     def share(self, processes: int) -> None:
         """So many processes have the descriptors together, and the others no callers: those are here."""
         self.most = max(1, self.sockets - processes * RESERVED)  # connections from callers at once
+        while len(self.idle) + len(self.callers) > self.most and self.make_room():
+            pass
 
     def hand_over(self) -> Iterator[tuple[int, Handed]]:
         """Every connection, with its descriptor; none is left here."""
@@ -121,6 +126,8 @@
         (self.callers if handed.asked else self.idle)[caller] = None
         if handed.since:
             self.unfinished.since[caller] = handed.since
+            if not handed.half:
+                self.silent[caller] = None
         for call, headers in handed.open:
             caller.open[call] = sip.Message(headers=headers)
         for call in [*caller.open, *handed.standing]:
@@ -138,6 +145,7 @@
         link, reader = caller.link, caller.reader
         while data := (yield from link.receive()):
             caller.active_at = self.loop.now
+            self.silent.pop(caller, None)
             try:
                 for message in reader.feed(data):
                     self.unfinished.end(caller)
@@ -155,6 +163,7 @@
         else:
             caller.ended = not link.closed
         self.unfinished.end(caller)
+        self.silent.pop(caller, None)
         self.idle.pop(caller, None)
         self.callers.pop(caller, None)
         if caller.ended and caller.open:
@@ -165,20 +174,30 @@
         link.close()
 
     def make_room(self) -> bool:
-        """Out of descriptors: give up the connection that has been without a set-up for longest.
+        """Out of descriptors: give up the connection that is needed least.
 
-        One that has never said anything whole goes first: a crowd of those must not cost a caller its own.
+        First what has never said anything, then what stopped inside a message a while ago, then what has been
+        idle for longest (its caller comes again), and last what is being written just now.  Guards against a
+        crowd that connects and says nothing, or half a message: it must not cost a caller its own.
         """
-        silent = next((caller for caller in self.unfinished.since if caller in self.idle), None)
-        if silent is None:
-            spare = [caller for caller in (*self.idle, *self.callers) if not caller.open]
-            silent = min(spare, key=lambda caller: caller.active_at) if spare else None
-        if silent is None:
+        spare = next(iter(self.silent), None)
+        if spare is None:
+            free = [caller for caller in (*self.idle, *self.callers) if not caller.open]
+            spare = min(free, key=self._need) if free else None
+        if spare is None:
             return False
-        silent.link.close()
+        for kept in (self.silent, self.idle, self.callers):
+            kept.pop(spare, None)  # at once: the next may be accepted before its end is heard
+        self.unfinished.end(spare)
+        spare.link.close()
         self.counters["connections_shed"] += 1
         return True
 
+    def _need(self, caller: Caller) -> tuple[bool, bool, float]:
+        """How much a connection without a set-up is needed: `make_room` gives up the least."""
+        inside = caller.reader.inside
+        return inside and caller.active_at > self.loop.now - STOPPED_MS, not inside, caller.active_at
+
     # ---- what callers say ----
 
     def _hear(self, caller: Caller, message: sip.Message) -> None:
--- a/ospreyvale/program/unfinished.py
+++ b/ospreyvale/program/unfinished.py
@@ -9,8 +9,10 @@
 from ospreyvale.transport.loop import Loop
 from ospreyvale.transport.network import Link
 
-UNFINISHED_MS = 2_000.0  # a connection may be silent at first, or inside a message, for so long
-SWEEP_MS = 250.0
+# A connection may be silent at first, or inside a message, for so long: callers on poor links write a set-up
+# over 2 s, and bad ones are owed an end within 3 s.
+UNFINISHED_MS = 2_400.0
+SWEEP_MS = 100.0
 
 
 class Holder(Protocol):
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -30,7 +30,7 @@
 from ospreyvale.routing.table import CallTable
 from ospreyvale.transport.loop import Loop
 from ospreyvale.transport.network import QUEUE_LIMIT, Connection, Link, Network
-from tests.player import CONFIG, START, MemoryLink, NoPoller, Player, target
+from tests.player import CONFIG, START, MemoryLink, NoPoller, Player, sip, target
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -328,3 +328,36 @@
 
     loop.start(serve(1))
     assert counted == [1]
+
+
+def test_out_of_descriptors_what_is_needed_least_gives_way() -> None:
+    """A crowd that stopped half way cost a caller that was writing slowly its connection."""
+    player = Player()
+    player.changes = {"limits": {"sockets": 68}}  # four connections from callers
+    app = player.start()
+
+    def connect(data: bytes) -> MemoryLink:
+        link = MemoryLink(player.loop)
+        player.loop.start(app.sip.serve(link))
+        link.inbox += data
+        player.loop.fire(link.readable)
+        player.loop.turn()
+        return link
+
+    test = sip(b"OPTIONS sip:ping@net SIP/2.0\nCSeq: 1 OPTIONS")
+    idle, stopped = connect(test), connect(b"INV")
+    player.after(1_100.0)
+    slow, silent = connect(b"INV"), connect(b"")
+    links = {"idle": idle, "stopped": stopped, "slow": slow, "silent": silent}
+    for gone in ("silent", "stopped", "idle", "slow"):
+        # Several at once, as one turn accepts them: the bound holds for each.
+        assert not links[gone].closed
+        player.loop.start(app.sip.serve(MemoryLink(player.loop)))
+        assert links[gone].closed, gone
+        assert len(app.sip.idle) + len(app.sip.callers) == 4
+        newest = next(reversed(app.sip.idle))
+        app.sip.silent.pop(newest)
+        newest.active_at = player.now + 1.0  # it has said something meanwhile
+        assert not list(newest.reader.feed(b"INV"))
+    app.sip.share(2)  # with another process there is room for one
+    assert len(app.sip.idle) == 1
