Hand over the holds and the spell of lag with what was learned

Seen: a new process that takes over while the own exchange lags begins a new spell (Control._learn cuts the learned rate once a spell), and its holds begin open (Far.hold). upgrade seed 3 gave 0.55 once, then 0.97 and 0.93 unchanged. Kept, as what a hold says is part of what was learned; the 0.55 was not seen again, and its cause is not proved by this.

--- a/ospreyvale/program/handover.py
+++ b/ospreyvale/program/handover.py
@@ -348,15 +348,16 @@
 def _flat(learned: i.Learned) -> dict[str, Any]:
     """JSON has no infinity, and no bytes: numbers go as text."""
     own = learned.set_up_rate, learned.rate, learned.peak, learned.carried
-    return {"own": [repr(value) for value in own],
-            "far": [[far.number, text(far.address), far.samples, *(repr(value) for value in (
+    return {"lagged": learned.lagged, "own": [repr(value) for value in own],
+            "far": [[far.number, text(far.address), far.samples, list(far.held), *(repr(value) for value in (
                 far.started, far.wait, far.heard, far.least, *far.recent))] for far in learned.far]}
 
 
 def _learned(frame: dict[str, Any]) -> i.Learned:
     far = []
-    for number, address, samples, *values in frame["far"]:
+    for number, address, samples, held, *values in frame["far"]:
         started, wait, heard, least, *recent = (float(value) for value in values)
-        far.append(i.FarLearned(number, data(address), started, wait, heard, least, samples, tuple(recent)))
+        far.append(i.FarLearned(number, data(address), started, wait, heard, least, samples, tuple(held),
+                                tuple(recent)))
     set_up_rate, rate, peak, carried = (float(value) for value in frame["own"])
-    return i.Learned(set_up_rate, rate, peak, carried, tuple(far))
+    return i.Learned(set_up_rate, rate, peak, carried, frame["lagged"], tuple(far))
--- a/ospreyvale/routing/control.py
+++ b/ospreyvale/routing/control.py
@@ -312,19 +312,20 @@
     def hand_on(self) -> i.Learned:
         """What has been learned; the share of cold exchanges goes with it, and none is left here."""
         self.handed_on = True
-        return i.Learned(self.learned, self.rate, self.peak, self.carried, tuple(
+        return i.Learned(self.learned, self.rate, self.peak, self.carried, self.lagged, tuple(
             i.FarLearned(far.number, far.address, far.started, far.wait, far.heard, far.least, far.samples,
-                         tuple(far.recent)) for far in [self.own, *self.far.values()]))
+                         tuple(far.hold.on), tuple(far.recent)) for far in [self.own, *self.far.values()]))
 
     def take_on(self, learned: i.Learned) -> None:
         """Go on from what the instance before has learned, of the processors that still run."""
         self.learned, self.rate = learned.set_up_rate, learned.rate
-        self.peak, self.carried = learned.peak, learned.carried
+        self.peak, self.carried, self.lagged = learned.peak, learned.carried, learned.lagged
         for known in learned.far:
             far = self.own if known.number == self.s.here else self.far.get(known.number)
             if far is not None and (far.address, far.started) == (known.address, known.started):
                 far.wait, far.heard = known.wait, known.heard
                 far.least, far.samples = known.least, known.samples
+                far.hold.on = list(known.held)
                 far.recent = deque([*known.recent, *far.recent])
 
     # ---- measures ---------------------------------------------------------------------------
--- a/ospreyvale/routing/interface.py
+++ b/ospreyvale/routing/interface.py
@@ -200,6 +200,7 @@
     heard: float
     least: float
     samples: int
+    held: tuple[bool, ...]  # by class: closed
     recent: tuple[float, ...]  # set-ups sent while it was cold
 
 
@@ -211,6 +212,7 @@
     rate: float
     peak: float
     carried: float
+    lagged: bool
     far: tuple[FarLearned, ...]
 
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -248,10 +248,11 @@
     for control in (old, new):
         control.handle(0.0, i.Roster(True, tuple(
             i.Exchange(n, bytes([n]), i.Condition.READY, 1.0 if n == 1 else 0.0) for n in range(2))))
-    old.learned, old.peak = 7.0, 5.0
+    old.learned, old.peak, old.lagged, old.far[1].hold.on = 7.0, 5.0, True, [True] * 4
     old.far[1].recent.append(1.0)
     new.take_on(old.hand_on())
     assert (new.learned, new.peak, list(new.far[1].recent)) == (7.0, 5.0, [1.0])
+    assert new.lagged and new.far[1].hold.on == [True] * 4
     assert not old._bears(2.0, old.far[1])
     # A processor that runs anew is another one: nothing of the old one counts for it.
     again = Control(settings_from_tests())
