--- a/ospreyvale/program/handover.py
+++ b/ospreyvale/program/handover.py
@@ -35,7 +35,7 @@
 class Sockets(Protocol):
     """What makes connections out of descriptors."""
 
-    def resumed(self, fd: int) -> Link: ...
+    def resume(self, fd: int, serve: Callable[[Link], Coroutine]) -> None: ...
 
 
 @dataclass(slots=True)
@@ -249,7 +249,7 @@
                 self.calls = dict(frame["calls"])
             case "connection":
                 handed = Handed(**{name: value for name, value in frame.items() if name != "kind"})
-                node.loop.start(node.sip.resume(node.sockets.resumed(self.fds.pop(0)), handed))
+                node.sockets.resume(self.fds.pop(0), lambda link: node.sip.resume(link, handed))
             case "done":
                 self._done()
             case "answer":
--- a/ospreyvale/transport/network.py
+++ b/ospreyvale/transport/network.py
@@ -201,7 +201,16 @@
                     self.loop.at(self.loop.now + FULL_PAUSE_MS, self._watch)
                     return
                 continue
-            self.loop.start(self.serve(Connection(self.loop, fresh, self.urgent)))
+            self.loop.start(_served(self.serve, Connection(self.loop, fresh, self.urgent)))
+
+
+def _served(serve: Callable[[Link], Coroutine], link: Link) -> Coroutine:
+    """Guards against a fault in `serve`: a connection that nobody reads any more stayed open for good."""
+    try:
+        yield from serve(link)
+    except Exception:
+        link.close()
+        raise
 
 
 class Network:
@@ -217,9 +226,9 @@
             else socket.socket(fileno=fd)
         return Listener(self.loop, sock, serve, make_room, urgent)
 
-    def resumed(self, fd: int) -> Link:
-        """A connection that another process had."""
-        return Connection(self.loop, socket.socket(fileno=fd))
+    def resume(self, fd: int, serve: Callable[[Link], Coroutine]) -> None:
+        """Start `serve` on a connection that another process had."""
+        self.loop.start(_served(serve, Connection(self.loop, socket.socket(fileno=fd))))
 
     def dial(self, address: Address, timeout_ms: float,
              urgent: bool = False) -> Generator[Signal, None, Link | None]:
--- a/ospreyvale/transport/pool.py
+++ b/ospreyvale/transport/pool.py
@@ -61,7 +61,9 @@
                 yield self._over
 
     def _serving(self, link: Link) -> Coroutine:
-        yield from self.serve(link)
-        link.close()
-        if self.link is link:
-            self.renew()
+        try:
+            yield from self.serve(link)
+        finally:  # also after a fault of our own: the far end would never be dialled again
+            link.close()
+            if self.link is link:
+                self.renew()
--- a/tests/player.py
+++ b/tests/player.py
@@ -130,6 +130,17 @@
         return None
 
 
+class MemoryListener:
+    """Nothing comes to it by itself."""
+
+    def pause(self) -> None: ...
+    def resume(self) -> None: ...
+    def close(self) -> None: ...
+
+    def fileno(self) -> int:
+        return -1
+
+
 class MemoryNetwork:
     """Dials and listens within the script."""
 
@@ -142,16 +153,9 @@
     def listen(self, address: Address, serve: Callable[[Link], Coroutine],
                make_room: Callable[[], bool], urgent: bool = False, fd: int | None = None) -> Listening:
         self.served[address] = serve
-        return self
-
-    def pause(self) -> None: ...
-    def resume(self) -> None: ...
-    def close(self) -> None: ...
-
-    def fileno(self) -> int:
-        return -1
+        return MemoryListener()
 
-    def resumed(self, fd: int) -> Link:
+    def resume(self, fd: int, serve: Callable[[Link], Coroutine]) -> None:
         raise NotImplementedError
 
     def dial(self, address: Address, timeout_ms: float,
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -30,6 +30,7 @@
 from ospreyvale.routing.table import CallTable
 from ospreyvale.transport.loop import Loop
 from ospreyvale.transport.network import QUEUE_LIMIT, Connection, Link, Network
+from ospreyvale.transport.pool import Peer
 from tests.player import CONFIG, START, MemoryLink, NoPoller, Player, sip, target
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -361,3 +362,34 @@
         assert not list(newest.reader.feed(b"INV"))
     app.sip.share(2)  # with another process there is room for one
     assert len(app.sip.idle) == 1
+
+
+def test_a_fault_in_what_serves_a_connection_ends_that_connection() -> None:
+    """Nobody read it any more, and what came on it was lost."""
+    loop, faults, dialled = Loop(lambda: 0.0), list[BaseException](), list[Link]()
+    loop.on_fault = faults.append
+    network = Network(loop)
+
+    def serve(link: Link) -> Any:
+        yield from link.receive()
+        raise KeyError("ours")
+
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        address = ("127.0.0.1", probe.getsockname()[1])
+    listener = network.listen(address, serve, lambda: False)
+
+    def keep(link: Link) -> Any:
+        dialled.append(link)
+        link.send(b"x")
+        yield from link.receive()
+        raise KeyError("ours too")
+
+    peer = Peer(network, address, 100.0, keep, lambda: None)
+    for _ in range(12):
+        loop.turn()
+        if len(dialled) > 1:
+            break
+    assert dialled[0].closed and len(dialled) > 1
+    assert {str(fault) for fault in faults} == {"'ours'", "'ours too'"}
+    peer.end()
+    listener.close()
