M3UA keeps to a drain and a takeover: idle associations end, circuits stay apart

Seen in a test with a stand-in: after a takeover both processes seized CIC 1 toward an older exchange, and a REL that it sent on the newer association was answered as for an unknown circuit: the caller never heard of the end. In a drain an association without a circuit in use was held open for good, and ASPAC was granted. Now the new process leaves the old one's circuits alone until that has ended, and passes on what is said of them; in a drain idle associations end and ASPAC gets ERR 0x0D.

--- a/ospreyvale/program/app.py
+++ b/ospreyvale/program/app.py
@@ -78,8 +78,8 @@
             self.exchanges.take(event)
         self.bus = BusFront(network, config.bus, config.connect_timeout_ms, config.offset,
                             self.exchanges.take, log)
-        if edge.m3ua.exchanges:
-            M3uaExchanges(network, self.core, edge.m3ua, config.connect_timeout_ms, self.counters, log)
+        older = M3uaExchanges(network, self.core, edge.m3ua, config.connect_timeout_ms, self.counters,
+                              log) if edge.m3ua.exchanges else None
         self.serves: dict[Address, Callable[[Link], Coroutine]] = {config.listen: self.sip.serve}
         if edge.m3ua.listen is not None:
             m3ua = M3uaFront(loop, self.core, edge.m3ua, config.classes, patience_ms, config.settings.seed,
@@ -99,7 +99,7 @@
         loop.on_fault = self._fault
         self.shared = shared / f"{config.name}.handover" if shared is not None else None
         self.stop_shared: Callable[[], None] = lambda: None
-        node = Node(loop, self.core, self.sip, self.exchanges, network, lambda: self.bus.offset,
+        node = Node(loop, self.core, self.sip, self.exchanges, older, network, lambda: self.bus.offset,
                     self.listeners, self._listen, self.drain, log)
         self.incumbent = Incumbent(node, self._end)
         channel = dial_local(loop, self.shared) if self.shared is not None else None
--- a/ospreyvale/program/handover.py
+++ b/ospreyvale/program/handover.py
@@ -15,6 +15,7 @@
 
 from ospreyvale.program.drain import Drain
 from ospreyvale.program.isup_exchanges import IsupExchanges
+from ospreyvale.program.m3ua_exchanges import M3uaExchanges
 from ospreyvale.program.sip_front import Handed, SipFront
 from ospreyvale.protocol import handover
 from ospreyvale.protocol.errors import ProtocolError
@@ -46,6 +47,7 @@
     core: Core
     sip: SipFront
     exchanges: IsupExchanges
+    older: M3uaExchanges | None
     sockets: Sockets
     offset: Callable[[], int]  # of the last event of the bus
     listeners: dict[Address, Listening]  # where callers connect
@@ -106,6 +108,8 @@
         learned = node.core.control.hand_on()
         channel.send(encode("learned", over=table.over(), releases=list(node.sip.releases.items()),
                             unheard=node.exchanges.unheard(), **_flat(learned)))
+        if node.older is not None:
+            channel.send(encode("circuits", in_use=node.older.in_use()))
         held = []
         for state in list(table.calls.values()):
             if state.caller is not node.sip:
@@ -229,6 +233,9 @@
             self.channel.send(encode("hung_up", call=call))
         return stands
 
+    def over(self, call: int, outcome: i.Outcome) -> None:
+        self.channel.send(encode("over", call=call, outcome=outcome.value))
+
     # ---- what the old process says ----
 
     def _take(self, frame: dict[str, Any]) -> None:
@@ -243,6 +250,8 @@
                 core.context.table.remember(frame["over"])
                 node.sip.releases.update(dict(frame["releases"]))
                 node.exchanges.release_unheard(frame["unheard"])
+            case "circuits" if node.older is not None:
+                node.older.leave_alone(frame["in_use"])
             case "call":
                 self._adopt(frame)
             case "held":
@@ -303,6 +312,8 @@
         node.sip.share(1)
         for fd in self.fds:
             os.close(fd)
+        if node.older is not None:
+            node.older.free_left()
         calls, self.calls = self.calls, {}
         for call, stands in calls.items():
             if stands:
--- a/ospreyvale/program/m3ua_exchanges.py
+++ b/ospreyvale/program/m3ua_exchanges.py
@@ -38,18 +38,19 @@
         self.circuits: dict[int, int] = {}  # CIC by call
         self.standing: set[int] = set()  # calls answered
         self.releasing: set[int] = set()  # CICs whose REL has no RLC yet
+        self.elsewhere: dict[int, int] = {}  # call by CIC, in the process that this one replaces
         self.probes: dict[int, float] = {}
         self.silent = 0  # heartbeats in a row after which nothing at all was heard
         self.condition = i.Condition.READY
 
     @property
     def free(self) -> int:
-        return self.config.circuits - len(self.calls) - len(self.releasing)
+        return self.config.circuits - len(self.calls) - len(self.releasing) - len(self.elsewhere)
 
     def seize(self, call: int) -> int:
         """The lowest idle circuit, now this call's."""
         cic = next(cic for cic in range(1, self.config.circuits + 1)
-                   if cic not in self.calls and cic not in self.releasing)
+                   if cic not in self.calls and cic not in self.releasing and cic not in self.elsewhere)
         self.calls[cic], self.circuits[call] = call, cic
         return cic
 
@@ -124,6 +125,31 @@
         self.log("exchanges", lines=[f"{far.name.decode()} {far.config.number} {far.condition.value}"])
         self.core.exchanges(self, False, (self._line(far),))
 
+    # ---- between two processes ----
+
+    def in_use(self) -> dict[str, dict[str, int]]:
+        """Calls by CIC, by exchange: circuits that no other process may take (call 0: its RLC is due)."""
+        return {far.name.decode(): {str(cic): call for cic, call in
+                                    (dict.fromkeys(far.releasing, 0) | far.calls).items()}
+                for far in self.far.values()}
+
+    def leave_alone(self, circuits: dict[str, dict[str, int]]) -> None:
+        """The process that this one replaces uses these, until `free_left`."""
+        for name, calls in circuits.items():
+            far = self.far.get(name.encode())
+            if far is not None:
+                far.elsewhere = {int(cic): call for cic, call in calls.items()}
+                self._tell_group(far)
+
+    def free_left(self) -> None:
+        """That process has ended: whatever its circuits carry is released."""
+        for far in self.far.values():
+            for cic in far.elsewhere:
+                far.releasing.add(cic)
+                self._send(far, Circuit(cic, Isup.REL, cause=Cause.NORMAL))
+            far.elsewhere = {}
+            self._tell_group(far)
+
     # ---- what the core orders (ExchangePort) ----
 
     def set_up(self, order: SetUpOrder) -> None:
@@ -178,6 +204,8 @@
                     stood = call in far.standing
                     self._free(far, message.cic)
                     self.core.ended(call, far.name, self._end(message.cause, stood))
+                elif (there := far.elsewhere.pop(message.cic, None)) is not None and self.core.elsewhere:
+                    self.core.elsewhere.over(there, self._end(message.cause, True).outcome)
                 elif message.cic not in far.releasing:  # else both ends released at once: its RLC is to come
                     self.counters["m3ua_unknown_cic"] += 1
             case Isup.RLC if call is not None:
--- a/ospreyvale/program/m3ua_front.py
+++ b/ospreyvale/program/m3ua_front.py
@@ -11,7 +11,7 @@
 
 from ospreyvale.program.drain import Drain
 from ospreyvale.program.edge import M3uaConfig
-from ospreyvale.program.m3ua_link import ServerAssociation
+from ospreyvale.program.m3ua_link import Asp, ServerAssociation
 from ospreyvale.program.unfinished import Unfinished
 from ospreyvale.protocol import m3ua
 from ospreyvale.protocol.errors import ProtocolError
@@ -45,6 +45,7 @@
                  drain: Drain) -> None:
         self.drain = drain
         drain.moved.append(self._notify)
+        drain.sweeps.append(self._send_away)
         self.loop, self.core, self.config = loop, core, config
         self.classes, self.patience_ms, self.counters, self.log = classes, patience_ms, counters, log
         self.legs: dict[Key, Leg] = {}
@@ -56,7 +57,7 @@
     def serve(self, link: Link) -> Coroutine:
         """One association, until the peer ends it."""
         association = ServerAssociation(link, lambda route, message: self._take(association, route, message),
-                                        lambda: self._moved(association))
+                                        lambda: self._moved(association), lambda: self.drain.on)
         self.associations[association] = -1
         self.unfinished.begin(association)
         while data := (yield from link.receive()):
@@ -93,9 +94,16 @@
         """Clients are sent away, or come again: each peer hears that we are inactive, or active."""
         status = m3ua.AS_INACTIVE if draining else m3ua.AS_ACTIVE
         for association in self.associations:
-            if association.active:
+            if association.state is not Asp.DOWN:
                 association.link.send(m3ua.encode(m3ua.Kind.NTFY, (m3ua.Tag.STATUS, status)))
 
+    def _send_away(self) -> None:
+        """While clients are sent away: end the associations of peers without a circuit in use."""
+        busy = {opc for opc, _ in self.legs}
+        for association, opc in list(self.associations.items()):
+            if association.active and opc not in busy:
+                association.link.close()
+
     # ---- what peers say ----
 
     def _take(self, association: ServerAssociation, route: Route, message: Circuit) -> None:
--- a/ospreyvale/program/m3ua_link.py
+++ b/ospreyvale/program/m3ua_link.py
@@ -74,9 +74,9 @@
     """The signalling gateway's side: the peer's ASP comes up and goes active by its own requests."""
 
     def __init__(self, link: Link, take: Callable[[m3ua.Route, m3ua.Circuit], None],
-                 moved: Callable[[], None]) -> None:
+                 moved: Callable[[], None], blocked: Callable[[], bool]) -> None:
         super().__init__(link, take)
-        self.moved = moved
+        self.moved, self.blocked = moved, blocked
 
     def _manage(self, message: Message) -> None:
         move = next((move for kind, move in _MOVES.items() if kind == message.kind), None)
@@ -87,6 +87,9 @@
         if message.kind in (Kind.ASPAC, Kind.ASPIA) and self.state is Asp.DOWN:
             self.link.send(m3ua.error(m3ua.Error.UNEXPECTED_MESSAGE))
             return
+        if message.kind == Kind.ASPAC and self.blocked():
+            self.link.send(m3ua.error(m3ua.Error.MANAGEMENT_BLOCKING))
+            return
         self.state, answer = move
         context = message.get(Tag.ROUTING_CONTEXT)
         self.link.send(m3ua.encode(answer, *([(Tag.ROUTING_CONTEXT, context)] if context else [])))
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -12,16 +12,17 @@
 from ospreyvale.program.app import App
 from ospreyvale.program.config import config_from
 from ospreyvale.program.edge import edge_from
-from ospreyvale.protocol import handover, isup, sip
+from ospreyvale.protocol import handover, isup, m3ua, sip
 from ospreyvale.protocol.errors import ProtocolError
 from ospreyvale.protocol.handover import Reader, encode
 from ospreyvale.protocol.isup import Code, Message, Type
+from ospreyvale.protocol.m3ua import Circuit, Isup, Kind, Route
 from ospreyvale.routing import interface as i
 from ospreyvale.routing.control import Control
 from ospreyvale.routing.settings import Params, settings_from
 from ospreyvale.transport.local import LONGEST_PATH, Channel, dial_local, listen_local
 from ospreyvale.transport.loop import Coroutine, Loop
-from ospreyvale.transport.network import Link, Network
+from ospreyvale.transport.network import Address, Link, Network
 from tests.player import CONFIG, SETTINGS, Events, target
 from tests.standins import until
 from tests.test_loopback import VirtualTime, free_address, text
@@ -30,7 +31,8 @@
 class Place:
     """One exchange, one caller's connection, and the programs that serve between them."""
 
-    def __init__(self, shared: Path) -> None:
+    def __init__(self, shared: Path, edge: dict[str, Any] | None = None) -> None:
+        self.edge = edge or {}
         time = VirtualTime()
         self.network = Network(Loop(time.clock, time))
         self.loop, self.shared = self.network.loop, shared
@@ -51,7 +53,7 @@
 
     def start(self) -> App:
         self.logs.append(Events())
-        app = App(config_from(self.config), edge_from({}, "edge"), self.network, self.logs[-1],
+        app = App(config_from(self.config), edge_from(self.edge, "edge"), self.network, self.logs[-1],
                   lambda: config_from(self.config), self.shared)
         self.loop.on_fault = None
         return app
@@ -95,8 +97,8 @@
                     if message.type == Type.IAM:
                         self.at = link
 
-    def say(self, method: str, call: int, link: Link | None = None) -> None:
-        (link or self.caller).send(request(method, call))
+    def say(self, method: str, call: int, destination: int = 1) -> None:
+        self.caller.send(request(method, call, destination))
 
     def answer(self, call: int) -> None:
         self.at.send(isup.encode(Message(Type.ANM, call, {Code.DESCRIPTION: b"\xffd"})))
@@ -114,9 +116,10 @@
         return [(message.status or message.method, message.call) for message in self.heard]
 
 
-def request(method: str, call: int) -> bytes:
+def request(method: str, call: int, destination: int = 1) -> bytes:
     return (f"{method} sip:{call:016x}@net SIP/2.0\r\nCall-ID: {call:016x}\r\nCSeq: 1 {method}\r\n"
-            "Priority-Class: stock-check\r\nP-Trunk-Info: dest:1\r\nContent-Length: 0\r\n\r\n").encode()
+            f"Priority-Class: stock-check\r\nP-Trunk-Info: dest:{destination}\r\n"
+            "Content-Length: 0\r\n\r\n").encode()
 
 
 @pytest.fixture
@@ -297,3 +300,62 @@
     for noise in (b"{\n", b"[]\n", b"{}\n"):
         with pytest.raises(ProtocolError):
             list(Reader().feed(noise))
+
+
+class OlderExchange:
+    """An exchange that speaks M3UA, as the tests tell it."""
+
+    def __init__(self, network: Network, address: Address) -> None:
+        self.links: list[Link] = []
+        self.circuits: list[Circuit] = []
+        network.listen(address, self._serve, lambda: False)
+
+    def _serve(self, link: Link) -> Coroutine:
+        self.links.append(link)
+        reader = m3ua.Reader()
+        while data := (yield from link.receive()):
+            for message in reader.feed(data):
+                if message.kind == Kind.DATA:
+                    self.circuits.append(m3ua.circuit(message)[1])
+                else:
+                    link.send(m3ua.encode(ACKS[Kind(message.kind)], *message.parameters))
+
+    def say(self, place: int, message: Circuit) -> None:
+        self.links[place].send(m3ua.data(Route(20, 1), message))
+
+    def seen(self, kind: Isup) -> list[int]:
+        return [circuit.cic for circuit in self.circuits if circuit.type == kind]
+
+
+ACKS = {Kind.ASPUP: Kind.ASPUP_ACK, Kind.ASPAC: Kind.ASPAC_ACK, Kind.BEAT: Kind.BEAT_ACK}
+
+
+def test_circuits_of_older_exchanges_stay_with_the_old_process_until_it_ends(tmp_path: Path) -> None:
+    """Both processes seized the same circuit, and a release on the newer association was lost to the call."""
+    address = free_address()
+    place = Place(tmp_path, {"m3ua": {"exchange": [
+        {"number": 20, "address": text(address), "point_code": 20, "circuits": 4}]}})
+    older = OlderExchange(place.network, address)
+    place.turn(lambda: len(older.links) == 1)
+    for call, cic in ((0xa1, 1), (0xa2, 2), (0xa3, 3)):
+        until(place.loop, lambda: False, 300.0)
+        place.say("INVITE", call, 20)
+        place.turn(lambda cic=cic: cic in older.seen(Isup.IAM))
+        if cic < 3:
+            older.say(0, Circuit(cic, Isup.ANM, description=b"d"))
+            place.turn(lambda call=call: (200, call) in place.said())
+    new = place.replace()
+    place.turn(lambda: len(older.links) == 2)
+    older.say(0, Circuit(3, Isup.ANM, description=b"d"))  # a set-up that the old one has open there
+    place.turn(lambda: (200, 0xa3) in place.said())
+    older.say(1, Circuit(1, Isup.REL, cause=16))
+    place.turn(lambda: ("BYE", 0xa1) in place.said())
+    place.say("BYE", 0xa3, 20)
+    place.turn(lambda: 3 in older.seen(Isup.REL))
+    place.say("INVITE", 0xa4, 20)
+    place.turn(lambda: len(older.seen(Isup.IAM)) == 4)
+    assert older.seen(Isup.IAM)[-1] == 1  # free again; 2 stands, and 3 is the old one's still
+    place.old.incumbent.successor.close()  # type: ignore[union-attr]
+    place.turn(lambda: ("BYE", 0xa2) in place.said())  # what it held has ended with it
+    place.turn(lambda: 2 in older.seen(Isup.REL))
+    new._end()
