--- a/ospreyvale/program/isup_exchanges.py
+++ b/ospreyvale/program/isup_exchanges.py
@@ -36,6 +36,7 @@
 WATCH_MS = 25.0
 SILENT_MS = 80.0  # nothing at all after a set-up: the line is doubted
 QUIET_MS = 400.0  # nothing while a set-up or a test waits there: the same
+UNTESTED_MS = 500.0  # a line where only calls stand is tested when it has been quiet for so long
 YOUNG_MS = 1_000.0  # but not so soon after it came up, as a processor that hangs is quiet on every line
 DEAD_MS = 120.0  # a doubted line that still says nothing, while the one after it does
 GIVEN_UP_MS = 1_500.0  # the same where the one after it says nothing either
@@ -234,6 +235,11 @@
         if line.link.closed or line not in far.lines:
             return
         now = self.loop.now
+        if line is far.line and line.waits_at == math.inf and now > line.heard_at + UNTESTED_MS \
+                and self._unasked(far):
+            line.asked(now, set_up=False)
+            self.tests += 1
+            line.link.send(isup.encode(Message(Type.TEST, self.tests, {Code.CAUSE: b"\x00"})))
         waits = line.waits_at < math.inf or line in far.open.values()
         since = line.waits_at if line.waits_at < math.inf else line.heard_at
         quiet = waits and now > since + QUIET_MS and now > line.up_at + YOUNG_MS
@@ -250,6 +256,17 @@
         else:
             self.loop.at(now + WATCH_MS, lambda: self._watch(far, line))
 
+    def _unasked(self, far: Far) -> bool:
+        """Whether calls stand there and nothing else would show that the line is dead.
+
+        Guards the end of a call through a draining exchange, which the module neither probes nor sends to:
+        told on a dead line, it would be heard with the exchange's own end only, and too late.
+        """
+        entry = self.core.context.roster.entries.get(far.name)
+        return entry is not None and entry.line.condition is not i.Condition.READY and any(
+            state.out is not None and state.out.line.address == far.name
+            for state in self.core.context.table.calls.values())
+
     @staticmethod
     def _dead(far: Far, line: Line, now: float) -> bool:
         if line.reader.inside and now > line.heard_at + STALLED_MS:
