Renew the lines after a takeover, and wait for lines to ready exchanges only

Seen in the code: an exchange says a release on the line of the set-up; after a takeover that is the old process's, and what arrives there between its last read and its end is read by nobody. Now the new process opens another line to each exchange once the old one has ended, as a release is said again on the next one opened, and a second copy is passed over (CallTable.was_here).

--- a/ospreyvale/program/handover.py
+++ b/ospreyvale/program/handover.py
@@ -312,6 +312,7 @@
         node.sip.share(1)
         for fd in self.fds:
             os.close(fd)
+        node.exchanges.renew()
         if node.older is not None:
             node.older.free_left()
         calls, self.calls = self.calls, {}
--- a/ospreyvale/program/isup_exchanges.py
+++ b/ospreyvale/program/isup_exchanges.py
@@ -143,13 +143,26 @@
 
     @property
     def up(self) -> bool:
-        """Whether a line to each exchange is up."""
-        return all(far.line is not None for far in self.far.values())
+        """Whether a line to each exchange that takes set-ups is up; one that drains may have stopped."""
+        entries = self.core.context.roster.entries
+        return all(far.line is not None for far in self.far.values()
+                   if far.name in entries and entries[far.name].line.condition is i.Condition.READY)
 
     def knows(self, state: CallState) -> bool:
         """Whether the call stands at an exchange of this kind: any connection there may end it."""
         return state.out is not None and state.out.port is self
 
+    def renew(self) -> None:
+        """Another line to each exchange, in place of the present one.
+
+        An exchange says a release on the line of the set-up, and again on the next one opened: what it said
+        on lines of the old process that nobody read any more is heard there.
+        """
+        for far in self.far.values():
+            if far.line is not None and len(far.lines) < LINES_MOST:
+                far.line.doubted_at = self.loop.now
+                far.peer.renew()
+
     def unheard(self) -> list[tuple[str, int]]:
         """Releases that wait for a line, by exchange."""
         return [(far.name.decode(), call) for far in self.far.values() for call in far.releases]
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -160,7 +160,10 @@
     place.at.send(isup.encode(Message(Type.REL, 0xb3, {Code.CAUSE: b"\x11", Code.NOTE: b"number_busy"})))
     place.turn(lambda: (503, 0xb3) in place.said())
     # Nothing is open there any more: it ends, and what stood goes on.
+    lines = len(place.links)
     place.turn(lambda: "replaced" in place.events(1))
+    # What the exchanges said on a line of the old process that nobody read, they say on the next one.
+    place.turn(lambda: len(place.links) == lines + 2 and new.exchanges.up)
     place.links[-1].send(isup.encode(Message(Type.REL, 0xa2, {Code.CAUSE: b"\x10"})))
     place.turn(lambda: ("BYE", 0xa2) in place.said())
     # The same release once more, as on a line opened after it: nobody is told twice.
