Serve on where the socket for a handover cannot be made

Seen in the code: listen_local raised OSError where $TMPDIR is missing or not ours, and the program ended with it before it took a call (App._ready). Now `handover_off` is logged and calls are served. The test fails without the change.

--- a/ospreyvale/program/app.py
+++ b/ospreyvale/program/app.py
@@ -125,7 +125,10 @@
                 self._listen(address)
         self.ready = True
         if self.shared is not None:
-            self.stop_shared = listen_local(self.loop, self.shared, self.incumbent.serve)
+            try:
+                self.stop_shared = listen_local(self.loop, self.shared, self.incumbent.serve)
+            except OSError as error:  # no such folder, or not ours: calls are served all the same
+                self.log("handover_off", why=str(error))
         self.log("ready")
 
     def _listen_http(self, network: Edges, address: Address, routes: Routes) -> None:
--- a/ospreyvale/transport/local.py
+++ b/ospreyvale/transport/local.py
@@ -121,10 +121,13 @@
             fresh.unlink()
         with _address(fresh) as address:
             sock.bind(address)
+        sock.listen(4)
         fresh.rename(path)  # at once: nobody finds the path without a listener
+    except OSError:
+        sock.close()
+        raise
     finally:
         os.umask(mask)
-    sock.listen(4)
     sock.setblocking(False)
 
     def accept(_: int) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -185,6 +185,13 @@
     place.old._end()
 
 
+def test_where_nothing_can_be_written_calls_are_served_all_the_same(tmp_path: Path) -> None:
+    place = Place(tmp_path / "missing")
+    assert place.old.ready and "handover_off" in place.events(0)
+    place.stand(0xa1)
+    place.old._end()
+
+
 def test_an_old_process_that_ends_midway(place: Place) -> None:
     place.say("INVITE", 0xb1)
     place.turn(lambda: (Type.IAM, 0xb1) in place.there())
