Split the program by concern: settings, exchanges, fronts, operations, program, wirehost

Need: program/ held 17 files of four concerns, and the timing policy, the settings document and the command line are to be added. Files move, imports follow; the OTLP export leaves the HTTP front's file, as only the front is a front. tests/test_layers.py states the order and that every package has a layer.

--- a/ospreyvale/program/m3ua_exchanges.py
+++ b/ospreyvale/exchanges/m3ua.py
@@ -4,9 +4,8 @@
 
 from collections import Counter
 
-from ospreyvale.program.edge import M3uaConfig, M3uaExchange
-from ospreyvale.program.isup_exchanges import PROBE_TIMEOUT_MS
-from ospreyvale.program.m3ua_link import ClientAssociation
+from ospreyvale.exchanges.association import ClientAssociation
+from ospreyvale.exchanges.isup import PROBE_TIMEOUT_MS
 from ospreyvale.protocol import m3ua
 from ospreyvale.protocol.errors import ProtocolError
 from ospreyvale.protocol.m3ua import Cause, Circuit, Isup, Route
@@ -15,6 +14,7 @@
 from ospreyvale.routing.core import Core
 from ospreyvale.routing.stages.relay import End
 from ospreyvale.routing.state import SetUpOrder
+from ospreyvale.settings.edge import M3uaConfig, M3uaExchange
 from ospreyvale.transport.loop import Coroutine
 from ospreyvale.transport.network import Dialer, Link
 from ospreyvale.transport.pool import Peer
--- /dev/null
+++ b/ospreyvale/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""What callers speak, and how they are sent away."""
--- a/ospreyvale/program/http.py
+++ b/ospreyvale/fronts/http.py
@@ -1,4 +1,4 @@
-"""The HTTP beside the main protocol: calls to a table of routes, and the export of metrics over OTLP/HTTP."""
+"""The HTTP beside the main protocol: calls to a table of routes."""
 
 from __future__ import annotations
 
@@ -8,22 +8,16 @@
 from http import HTTPStatus
 
 import h11
-import orjson
 
-from ospreyvale.program.edge import OtlpConfig
-from ospreyvale.program.figures import GAUGES
-from ospreyvale.protocol import otlp
 from ospreyvale.protocol.errors import LARGEST, ProtocolError
-from ospreyvale.routing.context import Log
 from ospreyvale.transport.loop import Coroutine, Signal
-from ospreyvale.transport.network import Address, Dialer, Link
+from ospreyvale.transport.network import Dialer, Link
 
 TIMEOUT_MS = 2_000.0  # of one request, either way
 CALLS_MOST = 12  # connections without a whole call
-Figures = Callable[[], Mapping[str, int]]
 
 
-def _message(link: Link, peer: h11.Connection) -> Generator[Signal, None, tuple[h11.Event, bytes] | None]:
+def message(link: Link, peer: h11.Connection) -> Generator[Signal, None, tuple[h11.Event, bytes] | None]:
     """The peer's next request or response with its body; None where it ends without one."""
     head: h11.Event | None = None
     body = bytearray()
@@ -57,12 +51,6 @@
 Routes = Mapping[bytes, Mapping[bytes, Callable[[], Reply]]]  # by path, then by method
 
 
-def counters_routes(figures: Figures) -> Routes:
-    """`GET /counters`, for the address that `deploy/edge.toml` gives."""
-    return {b"/counters": {b"GET": lambda: Reply(200, orjson.dumps(
-        dict(figures()), option=orjson.OPT_APPEND_NEWLINE))}}
-
-
 class HttpFront:
     """Answers one call a connection, out of a table of routes.
 
@@ -89,7 +77,7 @@
         limit = self.loop.at(self.loop.now + TIMEOUT_MS, link.close)
         peer = h11.Connection(h11.SERVER, max_incomplete_event_size=LARGEST)
         try:
-            asked = yield from _message(link, peer)
+            asked = yield from message(link, peer)
             if asked is not None and isinstance(asked[0], h11.Request):
                 self._answer(link, peer, *self._reply(asked[0]))
         except (h11.RemoteProtocolError, ProtocolError):
@@ -114,55 +102,3 @@
             ("Content-Length", str(len(reply.body))), ("Connection", "close")])
         for event in (head, h11.Data(data=reply.body), h11.EndOfMessage()):
             link.send(peer.send(event) or b"")
-
-
-class OtlpExporter:
-    """Posts the counters at an interval; one export at a time, and none ever holds up a call."""
-
-    def __init__(self, dialer: Dialer, config: OtlpConfig, endpoint: Address, node: str, figures: Figures,
-                 counters: Counter[str], log: Log) -> None:
-        self.dialer, self.loop, self.config, self.endpoint = dialer, dialer.loop, config, endpoint
-        self.node, self.figures, self.counters, self.log = node, figures, counters, log
-        self.started, self.busy = self.loop.now, False
-        self.loop.at(self.loop.now + config.interval_ms, self._due)
-
-    def _due(self) -> None:
-        self.loop.at(self.loop.now + self.config.interval_ms, self._due)
-        if self.busy:  # a slow collector loses exports; none is queued, the sums are cumulative anyway
-            self.counters["otlp_skipped"] += 1
-            return
-        self.busy = True
-        self.loop.spawn(self._export())
-
-    def _export(self) -> Coroutine:
-        link = yield from self.dialer.dial(self.endpoint, TIMEOUT_MS)
-        failure = "no connection"
-        if link is not None:
-            limit = self.loop.at(self.loop.now + TIMEOUT_MS, link.close)
-            try:
-                failure = yield from self._post(link)
-            except (h11.RemoteProtocolError, ProtocolError) as error:
-                failure = str(error)
-            limit.cancel()
-            link.close()
-        self.busy = False
-        self.counters["otlp_failed" if failure else "otlp_exported"] += 1
-        if failure:
-            self.log("otlp_failed", why=failure)
-
-    def _post(self, link: Link) -> Generator[Signal, None, str]:
-        """What failed; an empty text where nothing did."""
-        body = otlp.metrics(self.figures(), GAUGES, self.node, self.started, self.loop.now)
-        peer = h11.Connection(h11.CLIENT, max_incomplete_event_size=LARGEST)
-        head = h11.Request(method="POST", target=self.config.path, headers=[
-            ("Host", f"{self.endpoint[0]}:{self.endpoint[1]}"), ("Content-Type", "application/json"),
-            ("Content-Length", str(len(body))), ("Connection", "close")])
-        for event in (head, h11.Data(data=body), h11.EndOfMessage()):
-            link.send(peer.send(event) or b"")
-        answer = yield from _message(link, peer)
-        if answer is None or not isinstance(answer[0], h11.Response):
-            return "no answer"
-        if answer[0].status_code != 200:
-            return f"status {answer[0].status_code}"
-        lost = otlp.rejected(answer[1])
-        return f"{lost} points rejected" if lost else ""
--- a/ospreyvale/program/m3ua_front.py
+++ b/ospreyvale/fronts/m3ua.py
@@ -9,10 +9,9 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from ospreyvale.program.drain import Drain
-from ospreyvale.program.edge import M3uaConfig
-from ospreyvale.program.m3ua_link import Asp, ServerAssociation
-from ospreyvale.program.unfinished import Unfinished
+from ospreyvale.exchanges.association import Asp, ServerAssociation
+from ospreyvale.fronts.drain import Drain
+from ospreyvale.fronts.unfinished import Unfinished
 from ospreyvale.protocol import m3ua
 from ospreyvale.protocol.errors import ProtocolError
 from ospreyvale.protocol.m3ua import Cause, Circuit, Isup, Route
@@ -20,6 +19,7 @@
 from ospreyvale.routing.context import Log
 from ospreyvale.routing.core import Core
 from ospreyvale.routing.state import Offer
+from ospreyvale.settings.edge import M3uaConfig
 from ospreyvale.transport.loop import Coroutine, Loop
 from ospreyvale.transport.network import Link
 
--- a/ospreyvale/program/sip_front.py
+++ b/ospreyvale/fronts/sip.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from ospreyvale.program.drain import Drain
-from ospreyvale.program.unfinished import Unfinished
+from ospreyvale.fronts.drain import Drain
+from ospreyvale.fronts.unfinished import Unfinished
 from ospreyvale.protocol import sip
 from ospreyvale.protocol.errors import ProtocolError
 from ospreyvale.protocol.handover import data as data_of
--- a/ospreyvale/program/admin.py
+++ b/ospreyvale/operations/admin.py
@@ -6,9 +6,9 @@
 
 import orjson
 
-from ospreyvale.program.drain import Drain
-from ospreyvale.program.figures import Figures
-from ospreyvale.program.http import Reply, Routes
+from ospreyvale.fronts.drain import Drain
+from ospreyvale.fronts.http import Reply, Routes
+from ospreyvale.operations.figures import Figures
 
 BASE = b"/v1/session-controller"
 
--- a/ospreyvale/program/handover.py
+++ b/ospreyvale/operations/handover.py
@@ -13,10 +13,10 @@
 from dataclasses import asdict, dataclass
 from typing import Any, Protocol
 
-from ospreyvale.program.drain import Drain
-from ospreyvale.program.isup_exchanges import IsupExchanges
-from ospreyvale.program.m3ua_exchanges import M3uaExchanges
-from ospreyvale.program.sip_front import Handed, SipFront
+from ospreyvale.exchanges.isup import IsupExchanges
+from ospreyvale.exchanges.m3ua import M3uaExchanges
+from ospreyvale.fronts.drain import Drain
+from ospreyvale.fronts.sip import Handed, SipFront
 from ospreyvale.protocol import handover
 from ospreyvale.protocol.errors import ProtocolError
 from ospreyvale.protocol.handover import data, encode, text
--- a/ospreyvale/program/app.py
+++ b/ospreyvale/program/app.py
@@ -14,20 +14,21 @@
 from pathlib import Path
 from typing import Any, Protocol
 
-from ospreyvale.program.admin import Admin
-from ospreyvale.program.bus import BusFront
-from ospreyvale.program.config import Config, ConfigError, read_config
-from ospreyvale.program.drain import Drain
-from ospreyvale.program.edge import Edge, read_edge
-from ospreyvale.program.eventlog import EventLog
-from ospreyvale.program.figures import Figures
-from ospreyvale.program.handover import Incumbent, Node, Successor
-from ospreyvale.program.http import HttpFront, OtlpExporter, Routes, counters_routes
-from ospreyvale.program.isup_exchanges import IsupExchanges
-from ospreyvale.program.m3ua_exchanges import M3uaExchanges
-from ospreyvale.program.m3ua_front import M3uaFront
-from ospreyvale.program.sip_front import SipFront
+from ospreyvale.exchanges.bus import BusFront
+from ospreyvale.exchanges.isup import IsupExchanges
+from ospreyvale.exchanges.m3ua import M3uaExchanges
+from ospreyvale.fronts.drain import Drain
+from ospreyvale.fronts.http import HttpFront, Routes
+from ospreyvale.fronts.m3ua import M3uaFront
+from ospreyvale.fronts.sip import SipFront
+from ospreyvale.operations.admin import Admin
+from ospreyvale.operations.eventlog import EventLog
+from ospreyvale.operations.figures import Figures
+from ospreyvale.operations.handover import Incumbent, Node, Successor
+from ospreyvale.operations.otlp import OtlpExporter, counters_routes
 from ospreyvale.routing.core import Core
+from ospreyvale.settings.config import Config, ConfigError, read_config
+from ospreyvale.settings.edge import Edge, read_edge
 from ospreyvale.transport.local import dial_local, listen_local
 from ospreyvale.transport.loop import READ, Coroutine, Loop
 from ospreyvale.transport.network import Address, Dialer, Link, Listening, Network
--- a/ospreyvale/program/edge.py
+++ b/ospreyvale/settings/edge.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from ospreyvale.program.config import ConfigError, address
+from ospreyvale.settings.config import ConfigError, address
 from ospreyvale.transport.network import Address
 
 LARGEST_CIC = 4_095
--- /dev/null
+++ b/ospreyvale/wirehost/__init__.py
@@ -0,0 +1,1 @@
+"""The module on the simulator's wire."""
--- a/ospreyvale/wirehost.py
+++ b/ospreyvale/wirehost/host.py
@@ -5,10 +5,10 @@
 import sys
 from typing import Any, BinaryIO
 
-from ospreyvale import wire as w
 from ospreyvale.routing import interface as i
 from ospreyvale.routing.control import Control
 from ospreyvale.routing.settings import parse_settings
+from ospreyvale.wirehost import wire as w
 
 _OUTCOMES = {10: i.Outcome.OK, 20: i.Outcome.ERROR, 30: i.Outcome.FULL, 40: i.Outcome.TIMEOUT,
              50: i.Outcome.CONNECT_FAILED, 60: i.Outcome.RESET, 70: i.Outcome.CANCELLED,
@@ -146,7 +146,3 @@
         print(f"ospreyvale: malformed input: {error}", file=sys.stderr)
         return 2
     return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/tests/player.py
+++ b/tests/player.py
@@ -31,8 +31,8 @@
 from typing import Any
 
 from ospreyvale.program.app import App
-from ospreyvale.program.config import config_from
-from ospreyvale.program.edge import edge_from
+from ospreyvale.settings.config import config_from
+from ospreyvale.settings.edge import edge_from
 from ospreyvale.transport.loop import Coroutine, Loop, Signal
 from ospreyvale.transport.network import Address, Link, Listening
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,8 +10,6 @@
 import pytest
 
 from ospreyvale.program.app import App
-from ospreyvale.program.config import config_from
-from ospreyvale.program.edge import edge_from
 from ospreyvale.protocol import handover, isup, m3ua, sip
 from ospreyvale.protocol.errors import ProtocolError
 from ospreyvale.protocol.handover import Reader, encode
@@ -20,6 +18,8 @@
 from ospreyvale.routing import interface as i
 from ospreyvale.routing.control import Control
 from ospreyvale.routing.settings import Params, settings_from
+from ospreyvale.settings.config import config_from
+from ospreyvale.settings.edge import edge_from
 from ospreyvale.transport.local import LONGEST_PATH, Channel, dial_local, listen_local
 from ospreyvale.transport.loop import Coroutine, Loop
 from ospreyvale.transport.network import Address, Link, Network
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -1,4 +1,4 @@
-"""Layers import downward only: program > routing > protocol > transport; and the core names no wire."""
+"""Layers import downward only, in the order of LAYERS; and the core names no wire."""
 
 import re
 from pathlib import Path
@@ -6,7 +6,7 @@
 import pytest
 
 PACKAGE = Path(__file__).resolve().parent.parent / "ospreyvale"
-LAYERS = ["transport", "protocol", "routing", "program"]
+LAYERS = ["transport", "protocol", "routing", "settings", "exchanges", "fronts", "operations", "program"]
 WIRES = re.compile(r"\b(sip|isup|m3ua|sctp|otlp|http|h11|invite|iam)\b", re.IGNORECASE)
 
 
@@ -24,6 +24,11 @@
         assert upward(layer, path.read_text()) == [], path
 
 
+def test_every_package_has_its_layer() -> None:
+    packages = {path.parent.name for path in PACKAGE.glob("*/__init__.py")}
+    assert packages - {"wirehost"} == set(LAYERS)  # the simulator's wire hosts the module alone
+
+
 def test_an_upward_import_is_found() -> None:
     assert upward("protocol", "from ospreyvale.routing.core import Core")
 
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -12,10 +12,10 @@
 
 import pytest
 
+from ospreyvale.fronts.sip import SipFront
 from ospreyvale.program.app import App
-from ospreyvale.program.config import config_from
-from ospreyvale.program.edge import edge_from
-from ospreyvale.program.sip_front import SipFront
+from ospreyvale.settings.config import config_from
+from ospreyvale.settings.edge import edge_from
 from ospreyvale.transport.loop import Loop
 from ospreyvale.transport.network import Address, Network
 from tests.player import CONFIG, Events, target
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -17,10 +17,8 @@
 import orjson
 import pytest
 
+from ospreyvale.operations.eventlog import EventLog
 from ospreyvale.program.app import Signals
-from ospreyvale.program.config import ConfigError, config_from, read_config
-from ospreyvale.program.edge import edge_from, read_edge
-from ospreyvale.program.eventlog import EventLog
 from ospreyvale.protocol.eventbus import from_json
 from ospreyvale.routing import interface as i
 from ospreyvale.routing.control import BUSY_MOST
@@ -28,6 +26,8 @@
 from ospreyvale.routing.roster import Entry
 from ospreyvale.routing.state import Offer
 from ospreyvale.routing.table import CallTable
+from ospreyvale.settings.config import ConfigError, config_from, read_config
+from ospreyvale.settings.edge import edge_from, read_edge
 from ospreyvale.transport.loop import Loop
 from ospreyvale.transport.network import QUEUE_LIMIT, Connection, Link, Network
 from ospreyvale.transport.pool import Peer
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ospreyvale import wire as w
+from ospreyvale.wirehost import wire as w
 
 OFFICE = bytes([10, 18, 74, 7, 0x93, 0x1F])
 LINE = w.Line(1, 3, 2, 6100.0, OFFICE, 1.5, 1)
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -10,9 +10,9 @@
 
 import pytest
 
-from ospreyvale import wire as w
 from ospreyvale.routing.settings import parse_settings
-from ospreyvale.wirehost import Host
+from ospreyvale.wirehost import wire as w
+from ospreyvale.wirehost.host import Host
 
 ROOT = Path(__file__).resolve().parent.parent
 PARAMS: dict[str, Any] = {
