The example states the length of its body, so a second request can be read

Cause: Content-Length said 20 for a body of 21 bytes; the last of them began the next request on that connection. The length is now taken from the body.

--- a/example/try_it.py
+++ b/example/try_it.py
@@ -8,9 +8,10 @@
 import sys
 import time
 
+BODY = b"c=IN IP4 10.4.7.9\r\n\r\n"
 INVITE = (b"INVITE sip:7f3a9c21e0b4d655@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: 9b1f03aa5c7e2d41\r\n"
           b"CSeq: 1 INVITE\r\nPriority-Class: stock-check\r\nExpires-Ms: 1500\r\nP-Customer: moda-rila\r\n"
-          b"P-Trunk-Info: dest:1;width:1;via:-1\r\nContent-Length: 20\r\n\r\nc=IN IP4 10.4.7.9\r\n\r\n")
+          b"P-Trunk-Info: dest:1;width:1;via:-1\r\nContent-Length: %d\r\n\r\n%s" % (len(BODY), BODY))
 TRIES = 50
 
 
