--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,230 @@
+"""The real core between callers and exchanges of a script, on a virtual clock, without any wire.
+
+`Rig` keeps what both sides saw; `Rig.faults` reads only that, and knows nothing of the core's state.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from ospreyvale.routing import interface as i
+from ospreyvale.routing.core import Core
+from ospreyvale.routing.stages.relay import End
+from ospreyvale.routing.state import Offer, SetUpOrder
+
+START = 1_000_000.0
+NAMES = ("stock-check", "item-hold")
+SETTINGS = i.Settings(
+    here=0, instances=5, index=0, seed=7,
+    classes=(i.CallClass(1500.0, 9000.0, 1.0, 0.25, 11_000.0),
+             i.CallClass(1000.0, 6000.0, 5.0, 0.25, 5_500.0)),
+    max_attempts=4, probing=True, peers=False, cancel=True, release_ms=300.0, resend_ms=0.0,
+    answer_grace_ms=20.0, max_retry_after_ms=2000.0, cold_from=0.33, cold_ms=14_000.0,
+    fall_multiple=3.0, fall_ms=1000.0, report_fields=("free", "size"))
+HOLD_MS, PROBE_MS = 4_000.0, 20.0
+CRANKBACK = End(i.Outcome.FULL, i.Cause.CRANKBACK)
+ENDS = {"full": End(i.Outcome.FULL, i.Cause.PROCESSOR_FULL, 400.0), "turned_back": CRANKBACK,
+        "reset": End(i.Outcome.RESET), "error": End(i.Outcome.ERROR),
+        "refused": End(i.Outcome.CONNECT_FAILED), "no_circuit": End(i.Outcome.FULL, i.Cause.NO_CIRCUIT)}
+Behave = Callable[[SetUpOrder], tuple[str, float]]  # what an exchange does with a set-up, and after how long
+
+
+@dataclass
+class Timer:
+    """One entry of the clock."""
+
+    act: Callable[[], None] | None
+
+    def cancel(self) -> None:
+        self.act = None
+
+
+class VirtualClock:
+    """Time that moves from timer to timer."""
+
+    def __init__(self) -> None:
+        self.now, self._due, self._count = START, list[tuple[float, int, Timer]](), 0
+
+    def at(self, when: float, act: Callable[[], None]) -> Timer:
+        timer = Timer(act)
+        self._count += 1
+        heapq.heappush(self._due, (max(when, self.now), self._count, timer))
+        return timer
+
+    def run(self, until: float) -> None:
+        while self._due and self._due[0][0] <= until:
+            self.now, _, timer = heapq.heappop(self._due)
+            if timer.act is not None:
+                timer.act()
+        self.now = until
+
+
+@dataclass
+class Seen:
+    """What was seen of one call, outside of the core."""
+
+    offered: float
+    patience: float
+    call_class: int
+    left: bool = False
+    answers: list[tuple[float, str]] = field(default_factory=list)
+    sent: list[tuple[float, int, float]] = field(default_factory=list)  # when, where, with what wait
+    out: bool = False
+    doubt: float = -1e9  # when an attempt last ended in doubt
+    faults: list[str] = field(default_factory=list)
+
+
+def address(number: int) -> bytes:
+    return bytes([10, 0, 0, number, 19, 206])
+
+
+class Rig:
+    """One core, five exchanges and as many callers as are asked for."""
+
+    def __init__(self, behave: Behave, settings: i.Settings = SETTINGS, exchanges: int = 5,
+                 free: float = 20.0, **more: Any) -> None:
+        self.clock, self.behave, self.settings = VirtualClock(), behave, settings
+        self.core = Core(self.clock, settings, 250.0, lambda event, **fields: None, **more)
+        self.seen: dict[int, Seen] = {}
+        self.recorded: list[tuple[float, i.Event, list[i.Action]]] = []
+        handle = self.core.control.handle
+
+        def recording(now: float, event: i.Event) -> list[i.Action]:
+            actions = handle(now, event)
+            self.recorded.append((now, event, list(actions)))
+            return actions
+
+        self.core.control.handle = recording  # type: ignore[method-assign]
+        self.lines = tuple(i.Exchange(n, address(n), i.Condition.READY, 0.0, n % 3) for n in range(exchanges))
+        self.core.exchanges(self, True, self.lines)
+        self.free = {n: free for n in range(1, exchanges)}
+        for number in self.free:
+            self._group(number)
+
+    # ---- callers ----
+
+    def offer(self, call: int, destination: int, call_class: int = 0, patience: float = 3_000.0,
+              transit: bool = False) -> None:
+        self.seen[call] = Seen(self.clock.now, patience, call_class)
+        self.core.offer(Offer(call, destination, call, f"{call:016x}", patience, call_class,
+                              NAMES[call_class], b"d", transit=transit), self)
+
+    def give_up(self, call: int) -> None:
+        if not self.seen[call].answers:
+            self.seen[call].left = True
+            self.core.give_up(call)
+
+    def answer(self, call: int, description: bytes) -> None:
+        self._answered(call, "stands")
+
+    def refuse(self, call: int, back_off_ms: float) -> None:
+        self._answered(call, "refused")
+
+    def fail(self, call: int) -> None:
+        self._answered(call, "failed")
+
+    def _answered(self, call: int, how: str) -> None:
+        self.seen[call].answers.append((self.clock.now, how))
+
+    # ---- exchanges ----
+
+    def set_up(self, order: SetUpOrder) -> None:
+        seen, call, number = self.seen[order.offer.call], order.offer.call, order.exchange[3]
+        now, so_far = self.clock.now, len(seen.sent)
+        if seen.out:
+            seen.faults.append("two attempts out at once")
+        if now < seen.doubt + self.settings.release_ms:
+            seen.faults.append(f"sent again after {now - seen.doubt:.0f} ms")
+        seen.sent.append((now, number, order.wait_ms))
+        seen.out = True
+        self.free[number] -= 1
+        self._group(number)
+        what, delay = self.behave(order)
+        if what != "silent":
+            self.clock.at(now + delay, lambda: self._ends(call, number, what, so_far))
+
+    def _ends(self, call: int, number: int, what: str, attempt: int) -> None:
+        seen = self.seen[call]
+        if not seen.out or len(seen.sent) != attempt + 1:
+            return  # given up meanwhile
+        seen.out = False
+        if what == "answer":
+            self.core.stood(call, address(number), b"d")
+            self.clock.at(self.clock.now + HOLD_MS, lambda: self._over(call, number))
+            return
+        if what == "reset":
+            seen.doubt = self.clock.now
+        self._back(number)
+        self.core.ended(call, address(number), ENDS[what])
+
+    def _over(self, call: int, number: int) -> None:
+        self._back(number)
+        self.core.ended(call, address(number), End(i.Outcome.OK))
+
+    def cancel(self, call: int, exchange: bytes) -> None:
+        self.seen[call].out, self.seen[call].doubt = False, self.clock.now
+        self._back(exchange[3])
+
+    def release(self, call: int, *rest: Any) -> None: ...
+
+    def probe(self, exchange: bytes) -> None:
+        free = self.free.get(exchange[3], 20.0)
+        self.clock.at(self.clock.now + PROBE_MS,
+                      lambda: self.core.probed(exchange, i.Outcome.OK, PROBE_MS, (free, 20.0)))
+
+    def _back(self, number: int) -> None:
+        self.free[number] += 1
+        self._group(number)
+
+    def _group(self, number: int) -> None:
+        self.core.group(address(number), (self.free[number], 20.0))
+
+    def drain(self, number: int) -> None:
+        self.lines = tuple(replace(line, condition=i.Condition.DRAINING) if line.number == number else line
+                           for line in self.lines)
+        self.core.exchanges(self, True, self.lines)
+
+    # ---- the checker ----
+
+    def run(self, duration: float) -> None:
+        self.clock.run(self.clock.now + duration)
+
+    def faults(self) -> list[str]:
+        """Broken rules, as both sides saw them."""
+        found = []
+        for call, seen in self.seen.items():
+            found += [f"{call}: {fault}" for fault in seen.faults]
+            if len(seen.answers) != (0 if seen.left else 1):
+                found.append(f"{call}: {len(seen.answers)} answers")
+            late = seen.offered + seen.patience + self.settings.answer_grace_ms
+            if seen.answers and seen.answers[0][0] > late:
+                found.append(f"{call}: answered after {seen.answers[0][0] - seen.offered:.0f} ms")
+            if len(seen.sent) > self.settings.max_attempts:
+                found.append(f"{call}: {len(seen.sent)} attempts")
+        return found
+
+
+def drawn(source: random.Random) -> Behave:
+    """Exchanges that mostly answer, and do everything else too."""
+    def behave(order: SetUpOrder) -> tuple[str, float]:
+        what = source.choices(["answer", "silent", *ENDS], [60, 8, 8, 6, 8, 3, 4, 3])[0]
+        return what, source.choice([5.0, 30.0, 90.0, 350.0, 900.0])
+    return behave
+
+
+def traffic(rig: Rig, source: random.Random, calls: int) -> None:
+    """Calls of both classes to all exchanges, some in transit, some given up; a drain halfway."""
+    for call in range(1, calls + 1):
+        kind = source.random() < 0.2
+        rig.offer(call, source.randint(1, len(rig.lines) - 1), int(kind),
+                  source.choice([900.0, 1_800.0, 3_000.0]), source.random() < 0.15)
+        if source.random() < 0.05:
+            rig.clock.at(rig.clock.now + source.uniform(1.0, 800.0), lambda call=call: rig.give_up(call))  # type: ignore[misc]
+        if call == calls // 2:
+            rig.drain(1)
+        rig.run(source.expovariate(1 / 60.0))
+    rig.run(20_000.0)
