--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -1,6 +1,6 @@
 """Recorded events, replayed: without a timing policy the module decides as it did before there was one.
 
-`tests/recorded/*.json` hold what three runs of `tests/rig.py` told the module of commit 88d6b9b (seeds 1 to 3,
+`tests/recorded/*.json` hold what three runs of `tests/rig.py` told the module of commit 88d6b9b (seeds 1-3,
 with 20, 6 and 3 circuits a group), each event with a digest of the actions that it gave.
 """
 
