Bind calls by a timing policy: a KDL document, proved at load, swapped in service

Need: an item-hold and a stock-check wait alike, and a call over a tandem is timed like a direct one. Change: deploy/edge.kdl replaces edge.toml; settings/document.py is the one schema layer over ckdl, and gives every reason with file, path and what is allowed. A timing node becomes a policy (timing/policy.py) that the checker proves by laying out each order of routes at its worst (timing/checker.py). The module asks the plan of a call for its bounds (timing/engine.py), which it keeps to its end whatever comes after; retry budgets are token buckets by class and destination, back-off draws its jitter from an injected source. SIGHUP and PUT /v1/timing check, then swap in one step. A build is made again when requirements.txt is newer, as ckdl is now in it.

--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,10 @@
 .PHONY: build test lint run example
 
 build:
-	test -d .venv || (python3 -m venv .venv && .venv/bin/pip -q install -r requirements.txt)
+	test .venv/built -nt requirements.txt || (python3 -m venv .venv && .venv/bin/pip -q install -r requirements.txt \
+		&& touch .venv/built)
 
-.venv-dev: requirements.txt requirements-dev.txt
+.venv-dev: requirements.txt requirements-extra.txt requirements-dev.txt
 	python3 -m venv .venv-dev
 	.venv-dev/bin/pip -q install -r requirements.txt -r requirements-dev.txt
 	touch .venv-dev
--- a/ospreyvale/fronts/http.py
+++ b/ospreyvale/fronts/http.py
@@ -48,7 +48,7 @@
     body: bytes = b""
 
 
-Routes = Mapping[bytes, Mapping[bytes, Callable[[], Reply]]]  # by path, then by method
+Routes = Mapping[bytes, Mapping[bytes, Callable[[bytes], Reply]]]  # by path, then by method; the body is given
 
 
 class HttpFront:
@@ -79,7 +79,7 @@
         try:
             asked = yield from message(link, peer)
             if asked is not None and isinstance(asked[0], h11.Request):
-                self._answer(link, peer, *self._reply(asked[0]))
+                self._answer(link, peer, *self._reply(asked[0], asked[1]))
         except (h11.RemoteProtocolError, ProtocolError):
             self.counters["protocol_errors"] += 1
             self._answer(link, peer, Reply(400))
@@ -87,13 +87,13 @@
         self.open.pop(link, None)
         link.close()
 
-    def _reply(self, request: h11.Request) -> tuple[Reply, str]:
+    def _reply(self, request: h11.Request, body: bytes) -> tuple[Reply, str]:
         """The reply, and the methods that the path allows where this was another."""
         methods = self.routes.get(request.target.partition(b"?")[0])
         if methods is None:
             return Reply(404), ""
         act = methods.get(request.method)
-        return (Reply(405), b", ".join(methods).decode()) if act is None else (act(), "")
+        return (Reply(405), b", ".join(methods).decode()) if act is None else (act(body), "")
 
     @staticmethod
     def _answer(link: Link, peer: h11.Connection, reply: Reply, allow: str = "") -> None:
--- a/ospreyvale/operations/otlp.py
+++ b/ospreyvale/operations/otlp.py
@@ -21,8 +21,8 @@
 
 
 def counters_routes(figures: Figures) -> Routes:
-    """`GET /counters`, for the address that `deploy/edge.toml` gives."""
-    return {b"/counters": {b"GET": lambda: Reply(200, orjson.dumps(
+    """`GET /counters`, for the address that `deploy/edge.kdl` gives."""
+    return {b"/counters": {b"GET": lambda _: Reply(200, orjson.dumps(
         dict(figures()), option=orjson.OPT_APPEND_NEWLINE))}}
 
 
--- a/ospreyvale/program/app.py
+++ b/ospreyvale/program/app.py
@@ -5,6 +5,7 @@
 import gc
 import math
 import os
+import random
 import resource
 import signal
 import socket
@@ -26,14 +27,18 @@
 from ospreyvale.operations.figures import Figures
 from ospreyvale.operations.handover import Incumbent, Node, Successor
 from ospreyvale.operations.otlp import OtlpExporter, counters_routes
+from ospreyvale.operations.timing import TimingDesk
 from ospreyvale.routing.core import Core
 from ospreyvale.settings.config import Config, ConfigError, read_config
+from ospreyvale.settings.document import DocumentError
 from ospreyvale.settings.edge import Edge, read_edge
+from ospreyvale.settings.timing import site_of
+from ospreyvale.timing.policy import Site
 from ospreyvale.transport.local import dial_local, listen_local
 from ospreyvale.transport.loop import READ, Coroutine, Loop
 from ospreyvale.transport.network import Address, Dialer, Link, Listening, Network
 
-EDGE = Path("deploy/edge.toml")
+EDGE = Path("deploy/edge.kdl")  # or what LB_EDGE names
 LINGER_MS = 750.0  # set-ups may still come for 0.6 s after SIGTERM
 CHECK_MS = 20.0
 GC_OBJECTS = 50_000
@@ -61,12 +66,16 @@
     """One session controller."""
 
     def __init__(self, config: Config, edge: Edge, network: Edges, log: Logger,
-                 reread: Callable[[], Config], shared: Path | None = None) -> None:
-        self.reread, self.network = reread, network
+                 reread: Callable[[], Config], shared: Path | None = None,
+                 reread_edge: Callable[[Site], Edge] | None = None) -> None:
+        self.reread, self.reread_edge, self.network = reread, reread_edge, network
         self.config, self.loop, self.log = config, network.loop, log
         loop = network.loop
         self.core = Core(loop, config.settings, config.drain_grace_ms, log)
         self.counters = self.core.context.counters
+        self.timing = TimingDesk(self.core, self._site, random.Random(config.settings.seed).random, self.counters,
+                                 log)
+        self.older = frozenset(exchange.number for exchange in edge.m3ua.exchanges)
         self.drain = Drain(loop, log)
         self.kept = Figures(self.core, config.classes, self.counters)
         patience_ms = tuple(kind.deadline_ms for kind in config.settings.classes)
@@ -91,11 +100,12 @@
                          log)
         self.listeners: dict[Address, Listening] = {}  # where callers connect
         self.beside: list[Listening] = []  # where operators call
+        self.timing.take(edge.timing, "start")
         self.stopping = self.hurried = self.ready = False
         if edge.counters is not None:
             self._listen_http(network, edge.counters, counters_routes(self.figures))
         if config.admin is not None:
-            admin = Admin(self.kept, self.drain, lambda: self.ready and not self.incumbent.handed)
+            admin = Admin(self.kept, self.drain, self.timing, lambda: self.ready and not self.incumbent.handed)
             self._listen_http(network, config.admin, admin.routes)
         loop.on_fault = self._fault
         self.shared = shared / f"{config.name}.handover" if shared is not None else None
@@ -153,10 +163,14 @@
             self.hurried = True
 
     def reload(self) -> None:
-        """SIGHUP: the file may name another bus; a bad file is logged, and what was told before holds.
-
-        All else that it may change (limits, settings, what is known) is read at the next start.
+        """SIGHUP: the file may name another bus, and our own another timing policy; a bad one is logged, and what
+        was told before holds.  All else (limits, settings, what is known, other nodes) is read at the next start.
         """
+        if self.reread_edge is not None:
+            try:
+                self.timing.take(self.reread_edge(self._site()).timing, "reload")
+            except DocumentError as error:
+                self.timing.refused("reload", error)
         try:
             config = self.reread()
         except (ConfigError, OSError) as error:
@@ -167,6 +181,11 @@
         self.log("reloaded", bus=f"{config.bus[0]}:{config.bus[1]}")
         self.bus.move(config.bus)
 
+    def _site(self) -> Site:
+        """What a timing policy is checked against, with the exchanges as they are listed now."""
+        told = {line.number for line in self.core.context.roster.lines()}
+        return site_of(self.config, told | self.older)
+
     def on_signal(self, number: int) -> None:
         if number == signal.SIGUSR1:
             self.report()
@@ -242,8 +261,12 @@
         loop = Loop()
         log = EventLog(loop.clock, config.name)
         shared = environment.get("TMPDIR")
-        app = App(config, read_edge(EDGE), Network(loop), log, lambda: read_config(environment),
-                  Path(shared) if shared else None)
+        path = Path(environment.get("LB_EDGE") or EDGE)
+        app = App(config, read_edge(path, site_of(config)), Network(loop), log, lambda: read_config(environment),
+                  Path(shared) if shared else None, lambda site: read_edge(path, site))
+    except DocumentError as error:
+        print(*(f"ospreyvale: {reason}" for reason in error.reasons), sep="\n", file=sys.stderr)
+        return 2
     except (ConfigError, OSError) as error:
         print(f"ospreyvale: {error}", file=sys.stderr)
         return 2
--- a/ospreyvale/routing/context.py
+++ b/ospreyvale/routing/context.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any, Protocol
 
 from ospreyvale.routing import interface as i
 from ospreyvale.routing.roster import Roster
@@ -14,6 +15,13 @@
 Log = Callable[..., None]
 
 
+class Times(Protocol):
+    """Who learns how long set-ups take, where that is wanted."""
+
+    def add(self, now: float, call_class: str, direct: bool, exchange: int, end: str, ms: float) -> None: ...
+    def figures(self, now: float) -> dict[str, Any]: ...
+
+
 @dataclass(slots=True)
 class Context:
     """Passed to every stage, along with the call's state."""
@@ -24,3 +32,4 @@
     tell: Callable[[i.Event], None]
     log: Log
     counters: Counter[str] = field(default_factory=Counter)
+    times: Times | None = None  # learned where a timing policy wants them
--- a/ospreyvale/routing/control.py
+++ b/ospreyvale/routing/control.py
@@ -12,6 +12,7 @@
 from operator import attrgetter
 
 from ospreyvale.routing import interface as i
+from ospreyvale.timing.engine import UNTIMED, Plan, Timing, Untimed
 
 BAND = (0.85, 1.0)  # share of the learned set-up rate; the paper's band held while the processor was idle
 COUNT_BAND = (0.95, 1.0)  # share of the own groups' circuits: never below them, so all may be used
@@ -64,7 +65,7 @@
 
     def __init__(self, number: int, tolerance: tuple[float, ...]) -> None:
         self.number, self.address, self.ready = number, b"", False
-        self.started, self.cold_until = 0.0, -math.inf
+        self.started, self.cold_until, self.zone = 0.0, -math.inf, 0
         self.free, self.size = -1.0, 0.0  # circuits; -1: not told yet
         self.hold = Hold(DELAY_BAND, tolerance)
         self.wait, self.heard = 0.0, -math.inf  # last measured delay above the floor, and when
@@ -91,8 +92,8 @@
 class Record:
     """One call that is owed an answer, or stands."""
 
-    def __init__(self, call: i.Call, now: float, kind: int, value: float) -> None:
-        self.call, self.arrived, self.deadline = call, now, now + call.patience_ms
+    def __init__(self, call: i.Call, now: float, kind: int, value: float, plan: Plan) -> None:
+        self.call, self.arrived, self.plan, self.deadline = call, now, plan, plan.deadline
         self.attempts, self.not_before = 0, now
         self.last = now  # it waits here until then
         self.out: Far | None = None
@@ -104,8 +105,8 @@
 class Control:
     """The decisions of one instance: `handle` takes an event and gives the actions."""
 
-    def __init__(self, settings: i.Settings) -> None:
-        self.s = settings
+    def __init__(self, settings: i.Settings, timing: Timing | Untimed = UNTIMED) -> None:
+        self.s, self.timing = settings, timing
         least = min(max(c.worth, 1e-9) for c in settings.classes)
         # By class, then by class for calls dialled again: those are past their aim as a rule.
         self.value = tuple(c.worth for c in settings.classes) + tuple(
@@ -184,7 +185,7 @@
             far.ready = ready is not None
             if ready and (ready.address, ready.started_ms) != (far.address, far.started):
                 # A new processor: what was measured of the old one does not count for it.
-                far.address, far.started = ready.address, ready.started_ms
+                far.address, far.started, far.zone = ready.address, ready.started_ms, ready.zone
                 far.hold = Hold(DELAY_BAND, self.tolerance)
                 far.wait, far.lost_since, far.probing = 0.0, math.inf, False
                 far.cold_until = far.started + self.s.cold_ms if far.started > 0 else -math.inf
@@ -198,7 +199,8 @@
 
     def _call(self, now: float, event: i.Call) -> None:
         kind = self._kind(event)
-        record = Record(event, now, kind, self.value[kind])
+        plan = self.timing.take(event.call_class, event.destination, now, event.patience_ms)
+        record = Record(event, now, kind, self.value[kind], plan)
         self.calls[event.call] = record
         if now == self.resumed:
             self.waiting[event.call] = record  # a backlog is looked at in order of worth, at the beat
@@ -208,7 +210,8 @@
     def _adopted(self, now: float, event: i.Adopted) -> None:
         line = self.roster.get(event.address)
         if line is not None and line.number in self.far:
-            record = Record(event.call, now, self._kind(event.call), 0.0)
+            plan = UNTIMED.take(0, 0, now, event.call.patience_ms)  # it stands: nothing more goes out for it
+            record = Record(event.call, now, self._kind(event.call), 0.0, plan)
             record.out, record.stands = self.far[line.number], True
             self.calls[event.call.call] = record
             self.standing += 1
@@ -240,8 +243,11 @@
             self.standing -= 1
         self._report(far, event.report)
         number, cause = record.call.number, event.cause
-        if event.outcome in (i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CANCELLED):
+        doubt = event.outcome in (i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CANCELLED)
+        if doubt:
             record.not_before = now + self.s.release_ms + 1.0
+        soonest = record.plan.ended(now, doubt, event.outcome is not i.Outcome.MOOT)
+        record.not_before = max(record.not_before, soonest)
         if cause is i.Cause.LINES_BUSY:
             self._is_busy(now, number, answers=1.0)
         elif event.outcome is i.Outcome.MOOT and cause is i.Cause.PROCESSOR_FULL:
@@ -434,7 +440,7 @@
         kind = record.kind
         far = self.far.get(call.destination)
         if far is None or not far.ready or record.attempts >= self.s.max_attempts \
-                or self._is_busy(now, call.number):
+                or record.plan.spent or self._is_busy(now, call.number):
             return self._answer(record, i.Refuse(call.call, self.s.max_retry_after_ms))
         # The own one is closed to all but one set-up a second: without probes nothing else may open it.
         own_trial = not self.s.probing and not call.transit and now >= self.own.trial_due
@@ -494,11 +500,16 @@
             return False  # one attempt at a time, released, within its number and time
         if not far.ready or far is self.own or (call.transit and far.number != call.destination):
             return False  # draining, gone, the own exchange, a call in transit astray
+        direct = far.number == call.destination
+        wait = record.plan.wait(now, direct, far.number, far.zone)
+        if wait is None:
+            return False  # the policy of its class and route
         if not all(self._bears(now, end) for end in (far, self.own) if now < end.cold_until):
             return False
+        record.plan.sent(now, direct, far.number, far.zone)
         record.out = far
         record.attempts += 1
-        if far.number == call.destination:
+        if direct:
             far.pending[call.call] = now
         else:
             record.tried.append(far.number)
@@ -506,7 +517,7 @@
         self.own.trial_due = now + EVIDENCE_MS
         self.rate += 1000.0 / RATE_MEMORY_MS
         self.rate_hold.update(self.rate, self.learned)  # at once: waiting calls must not burst past it
-        self.out.append(i.SetUp(call.call, far.address, 0.0))
+        self.out.append(i.SetUp(call.call, far.address, wait))
         return True
 
     def _bears(self, now: float, end: Far) -> bool:
--- a/ospreyvale/routing/core.py
+++ b/ospreyvale/routing/core.py
@@ -30,13 +30,15 @@
     Offer,
 )
 from ospreyvale.routing.table import CallTable
+from ospreyvale.timing.engine import UNTIMED, Timing, Untimed
 
 
 class Core:
     """One instance: the module, the call table and the stages."""
 
-    def __init__(self, clock: Clock, settings: i.Settings, drain_grace_ms: float, log: Log) -> None:
-        self.control = Control(settings)
+    def __init__(self, clock: Clock, settings: i.Settings, drain_grace_ms: float, log: Log,
+                 timing: Timing | Untimed = UNTIMED) -> None:
+        self.control = Control(settings, timing)
         table = CallTable(settings.release_ms, settings.max_attempts, drain_grace_ms)
         self.context = Context(clock, table, Roster(), self._tell, log)
         self.home: CallerPort | None = None  # who hears of calls that stood before a restart
@@ -123,6 +125,12 @@
             if state.out is not None and state.out.line.address == exchange and state.out.sent_at < before:
                 relay_end(self.context, state, End(i.Outcome.RESET))
 
+    # ---- the operators' side ----
+
+    def retime(self, timing: Timing | Untimed) -> None:
+        """Calls taken in from now on go by this; those that are here keep what they were taken in under."""
+        self.control.timing = timing
+
     # ---- between two processes ----
 
     def adopt(self, offer: Offer, caller: CallerPort, exchange: bytes, number: int, sent_at: float) -> None:
--- a/ospreyvale/routing/stages/relay.py
+++ b/ospreyvale/routing/stages/relay.py
@@ -7,7 +7,8 @@
 from ospreyvale.routing import interface as i
 from ospreyvale.routing.context import Context
 from ospreyvale.routing.stages.book import book
-from ospreyvale.routing.state import CallState, Final
+from ospreyvale.routing.state import Attempt, CallState, Final
+from ospreyvale.routing.table import IN_DOUBT
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +31,7 @@
     context.counters["answers_stands"] += 1
     context.counters[f"completed.{state.offer.class_name}"] += 1
     state.caller.answer(state.call, description)
+    learn(context, state, attempt, "stood")
     context.tell(i.Standing(state.call, attempt.number, attempt.line.address,
                             context.clock.now - attempt.sent_at))
 
@@ -39,6 +41,8 @@
     stood, now = state.standing, context.clock.now
     attempt = context.table.end(now, state, end.outcome)
     context.counters[f"{'calls' if stood else 'attempts'}_{end.outcome.value}"] += 1
+    if not stood and end.outcome is not i.Outcome.MOOT:
+        learn(context, state, attempt, "in_doubt" if end.outcome in IN_DOUBT else "refused")
     if stood:
         state.caller.release(state.call, end.outcome)
         book(context, state, end.outcome.value)
@@ -46,6 +50,14 @@
                          now - attempt.sent_at, stood, end.cause, end.wait_ms, end.report))
 
 
+def learn(context: Context, state: CallState, attempt: Attempt, end: str) -> None:
+    """How long the attempt took, for whoever plans time-outs."""
+    if context.times is not None:
+        line = attempt.line
+        context.times.add(context.clock.now, state.offer.class_name, line.number == state.offer.destination,
+                          line.number, end, context.clock.now - attempt.sent_at)
+
+
 def relay_final(context: Context, state: CallState, final: Final, back_off_ms: float = 0.0) -> None:
     """The module's final answer goes to the caller at once."""
     if not context.table.answer(state, final):
--- a/ospreyvale/routing/stages/send.py
+++ b/ospreyvale/routing/stages/send.py
@@ -7,6 +7,7 @@
 from ospreyvale.routing import interface as i
 from ospreyvale.routing.context import Context
 from ospreyvale.routing.roster import Entry
+from ospreyvale.routing.stages.relay import learn
 from ospreyvale.routing.state import CallState, SetUpOrder
 
 
@@ -28,6 +29,7 @@
     now = context.clock.now
     attempt = context.table.end(now, state, outcome)
     attempt.port.cancel(state.call, attempt.line.address)
+    learn(context, state, attempt, "in_doubt")
     context.counters[f"attempts_{outcome.value}"] += 1
     context.tell(i.Ended(state.call, attempt.number, attempt.line.address, outcome,
                          now - attempt.sent_at, state.final is not None))
--- a/ospreyvale/settings/config.py
+++ b/ospreyvale/settings/config.py
@@ -38,6 +38,12 @@
     customers: tuple[str, ...]  # those of the settings; none: any
     widest: int  # circuits that a call may take
     admin: Address | None  # where the operators call; none: nowhere
+    zones: tuple[str, ...] = ()
+
+    @property
+    def exchanges(self) -> tuple[int, ...]:
+        """The numbers of the exchanges known at the start."""
+        return tuple({target.cell for event in self.known for target in event.targets})
 
 
 def address(text: Any, name: str) -> Address:
@@ -101,7 +107,8 @@
         str(values["name"]), address(values["listen"], "listen"), address(values["bus"], "bus"), sockets,
         known, int(values["known"].get("offset", known[-1].offset if known else 0)), settings,
         tuple(service.values["Name"] for service in services), columns, connect_timeout_ms, drain_grace_ms,
-        customers, widest, address(values["admin"], "admin") if values.get("admin") else None)
+        customers, widest, address(values["admin"], "admin") if values.get("admin") else None,
+        tuple(zones))
 
 
 def _known(known: Any, zones: list[str]) -> tuple[eventbus.Event, ...]:
--- a/ospreyvale/settings/edge.py
+++ b/ospreyvale/settings/edge.py
@@ -1,13 +1,14 @@
-"""`deploy/edge.toml`: what is beside the platform's port.  All of it is off there."""
+"""`deploy/edge.kdl`: what is beside the platform's port.  All of it is off there."""
 
 from __future__ import annotations
 
-import tomllib
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any
 
 from ospreyvale.settings.config import ConfigError, address
+from ospreyvale.settings.document import Reader, parse, read
+from ospreyvale.settings.timing import policy_of
+from ospreyvale.timing.policy import Policy, Site
 from ospreyvale.transport.network import Address
 
 LARGEST_CIC = 4_095
@@ -50,67 +51,75 @@
     m3ua: M3uaConfig
     otlp: OtlpConfig
     counters: Address | None
+    timing: Policy | None = None
 
 
-class _Table:
-    """Typed look-ups; a wrong value is reported by its path."""
+def read_edge(path: Path, site: Site) -> Edge:
+    """The file's contents, checked; DocumentError with every reason where they are refused."""
+    return edge_from(read(path), path.name, site)
 
-    def __init__(self, values: Any, path: str) -> None:
-        if not isinstance(values, dict):
-            raise ConfigError(f"{path} is not a table")
-        self.values, self.path = values, path
 
-    def part(self, key: str) -> _Table:
-        return _Table(self.values.get(key, {}), f"{self.path}.{key}")
+def edge_from(text: str, file: str, site: Site) -> Edge:
+    """The settings in the document's nodes, all or none."""
+    top, problems = parse(text, file)
+    m3ua = _m3ua(top.child("m3ua"))
+    reached = {*site.exchanges, *(exchange.number for exchange in m3ua.exchanges)}
+    timing = policy_of(top, problems, replace(site, exchanges=tuple(sorted(reached))), text)
+    edge = Edge(m3ua, _otlp(top.child("otlp")), _counters(top.child("counters")), timing)
+    top.done()
+    problems.refuse()
+    return edge
 
-    def whole(self, key: str, missing: int, most: int, least: int = 0) -> int:
-        value = self.values.get(key, missing)
-        if isinstance(value, bool) or not isinstance(value, int) or not least <= value <= most:
-            raise ConfigError(f"{self.path}.{key} is not a whole number from {least} to {most}")
-        return int(value)
 
-    def address(self, key: str) -> Address | None:
-        value = self.values.get(key, "")
-        return address(value, f"{self.path}.{key}") if value else None
-
-
-def read_edge(path: Path) -> Edge:
-    """The file's contents, checked."""
-    try:
-        values = tomllib.loads(path.read_text())
-    except OSError as error:
-        raise ConfigError(f"{path.name} cannot be read: {error.strerror}") from None
-    except ValueError as error:
-        raise ConfigError(f"{path.name} is not TOML: {error}") from None
-    return edge_from(values, path.name)
-
-
-def edge_from(values: Any, name: str) -> Edge:
-    """The settings in the file's tables."""
-    top = _Table(values, name)
-    m3ua, otlp = top.part("m3ua"), top.part("otlp")
-    entries = m3ua.values.get("exchange", [])
-    if not isinstance(entries, list):
-        raise ConfigError(f"{m3ua.path}.exchange is not a list of tables")
-    exchanges = [_exchange(_Table(entry, f"{m3ua.path}.exchange[{place}]"))
-                 for place, entry in enumerate(entries)]
+def _m3ua(node: Reader | None) -> M3uaConfig:
+    if node is None:
+        return M3uaConfig(None, 1, 2, 30, ())
+    exchanges = [_exchange(child) for child in node.children("exchange")]
     if len({exchange.number for exchange in exchanges}) < len(exchanges):
-        raise ConfigError(f"{m3ua.path}.exchange has a number twice")
-    endpoint = otlp.values.get("path", "/v1/metrics")
-    if not isinstance(endpoint, str) or not endpoint.startswith("/"):
-        raise ConfigError(f"{otlp.path}.path is not a path")
-    return Edge(
-        M3uaConfig(m3ua.address("listen"), m3ua.whole("point_code", 1, 0xFFFFFF),
-                   m3ua.whole("prefix", 2, 16, 1), m3ua.whole("circuits", 30, LARGEST_CIC, 1),
-                   tuple(exchanges)),
-        OtlpConfig(otlp.address("endpoint"), endpoint,
-                   float(otlp.whole("interval_ms", 5_000, 3_600_000, 100))),
-        top.part("counters").address("listen"))
-
-
-def _exchange(entry: _Table) -> M3uaExchange:
-    target = entry.address("address")
-    if target is None:
-        raise ConfigError(f"{entry.path}.address is missing")
-    return M3uaExchange(entry.whole("number", -1, 65_535), target, entry.whole("point_code", -1, 0xFFFFFF),
-                        entry.whole("circuits", 30, LARGEST_CIC, 1))
+        node.refuse("has an exchange's number twice")
+    config = M3uaConfig(_address(node, "listen") if node.has("listen") else None,
+                        node.whole("point-code", 0, 0xFFFFFF, 1), node.whole("prefix", 1, 16, 2),
+                        node.whole("circuits", 1, LARGEST_CIC, 30), tuple(exchanges))
+    node.done()
+    return config
+
+
+def _exchange(node: Reader) -> M3uaExchange:
+    number = node.argument("the number of an exchange")
+    if not isinstance(number, int) or not 0 <= number <= 0xFFFF:
+        node.refuse("is not the number of an exchange; allowed: a whole number from 0 to 65535")
+        number = 0
+    exchange = M3uaExchange(number, _address(node, "address"), node.whole("point-code", 0, 0xFFFFFF),
+                            node.whole("circuits", 1, LARGEST_CIC, 30))
+    node.done()
+    return exchange
+
+
+def _otlp(node: Reader | None) -> OtlpConfig:
+    if node is None:
+        return OtlpConfig(None, "/v1/metrics", 5_000.0)
+    path = node.text("path", "/v1/metrics")
+    if not path.startswith("/"):
+        node.refuse(f'path is "{path}"; allowed: one that begins with /')
+    config = OtlpConfig(_address(node, "endpoint"), path, float(node.whole("interval-ms", 100, 3_600_000, 5_000)))
+    node.done()
+    return config
+
+
+def _counters(node: Reader | None) -> Address | None:
+    if node is None:
+        return None
+    listen = _address(node, "listen")
+    node.done()
+    return listen
+
+
+def _address(node: Reader, name: str) -> Address:
+    text = node.text(name)
+    try:
+        return address(text, name)
+    except ConfigError as error:
+        if text:  # else it is missing, and that has been said
+            node.refuse(f"{error}; allowed: as 127.0.0.1:4318")
+        return "127.0.0.1", 0
+
--- a/tests/player.py
+++ b/tests/player.py
@@ -2,7 +2,7 @@
 
 Time stands still but for `after`, and every connection lies in memory, so a play has one outcome.  A line is:
 
-    edge TOML              what deploy/edge.toml would say (first lines only)
+    edge KDL               what deploy/edge.kdl would say (first lines only)
     config JSON            what the configuration says on top of CONFIG (first lines only)
     listen ADDRESS NAME    (an address to which dials succeed; the program's connection there is called NAME)
     refuse ADDRESS         dials to it are refused from now on
@@ -25,7 +25,6 @@
 import json
 import signal
 import struct
-import tomllib
 from collections.abc import Callable, Generator
 from pathlib import Path
 from typing import Any
@@ -33,6 +32,7 @@
 from ospreyvale.program.app import App
 from ospreyvale.settings.config import config_from
 from ospreyvale.settings.edge import edge_from
+from ospreyvale.settings.timing import site_of
 from ospreyvale.transport.loop import Coroutine, Loop, Signal
 from ospreyvale.transport.network import Address, Link, Listening
 
@@ -195,9 +195,10 @@
 
     def start(self) -> App:
         if self.app is None:
-            edge = edge_from(tomllib.loads(self.edge), "edge")
-            self.app = App(config_from({**CONFIG, **self.changes}), edge, self.network, self.log,
-                           lambda: config_from({**CONFIG, **self.changes}))
+            config = config_from({**CONFIG, **self.changes})
+            self.app = App(config, edge_from(self.edge, "edge", site_of(config)), self.network, self.log,
+                           lambda: config_from({**CONFIG, **self.changes}),
+                           reread_edge=lambda site: edge_from(self.edge, "edge", site))
             self.loop.on_fault = None  # a fault fails the test
         return self.app
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -20,6 +20,7 @@
 from ospreyvale.routing.settings import Params, settings_from
 from ospreyvale.settings.config import config_from
 from ospreyvale.settings.edge import edge_from
+from ospreyvale.settings.timing import site_of
 from ospreyvale.transport.local import LONGEST_PATH, Channel, dial_local, listen_local
 from ospreyvale.transport.loop import Coroutine, Loop
 from ospreyvale.transport.network import Address, Link, Network
@@ -31,8 +32,8 @@
 class Place:
     """One exchange, one caller's connection, and the programs that serve between them."""
 
-    def __init__(self, shared: Path, edge: dict[str, Any] | None = None) -> None:
-        self.edge = edge or {}
+    def __init__(self, shared: Path, edge: str = "") -> None:
+        self.edge = edge
         time = VirtualTime()
         self.network = Network(Loop(time.clock, time))
         self.loop, self.shared = self.network.loop, shared
@@ -53,7 +54,8 @@
 
     def start(self) -> App:
         self.logs.append(Events())
-        app = App(config_from(self.config), edge_from(self.edge, "edge"), self.network, self.logs[-1],
+        config = config_from(self.config)
+        app = App(config, edge_from(self.edge, "edge", site_of(config)), self.network, self.logs[-1],
                   lambda: config_from(self.config), self.shared)
         self.loop.on_fault = None
         return app
@@ -343,8 +345,7 @@
 def test_circuits_of_older_exchanges_stay_with_the_old_process_until_it_ends(tmp_path: Path) -> None:
     """Both processes seized the same circuit, and a release on the newer association was lost to the call."""
     address = free_address()
-    place = Place(tmp_path, {"m3ua": {"exchange": [
-        {"number": 20, "address": text(address), "point_code": 20, "circuits": 4}]}})
+    place = Place(tmp_path, f'm3ua {{ exchange 20 address="{text(address)}" point-code=20 circuits=4; }}')
     older = OlderExchange(place.network, address)
     place.turn(lambda: len(older.links) == 1)
     for call, cic in ((0xa1, 1), (0xa2, 2), (0xa3, 3)):
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -6,7 +6,7 @@
 import pytest
 
 PACKAGE = Path(__file__).resolve().parent.parent / "ospreyvale"
-LAYERS = ["transport", "protocol", "routing", "settings", "exchanges", "fronts", "operations", "program"]
+LAYERS = ["transport", "protocol", "timing", "routing", "settings", "exchanges", "fronts", "operations", "program"]
 WIRES = re.compile(r"\b(sip|isup|m3ua|sctp|otlp|http|h11|invite|iam)\b", re.IGNORECASE)
 
 
@@ -44,6 +44,12 @@
         assert not re.search(r"^import (select|os|time)\b|socket\.socket|open\(", text, re.M), path
 
 
+def test_the_timing_package_does_no_input_or_output() -> None:
+    for path in (PACKAGE / "timing").glob("*.py"):
+        text = path.read_text()
+        assert not re.search(r"^import (select|os|time|socket|random)\b|open\(|print\(", text, re.M), path
+
+
 def test_no_threads_and_no_asyncio() -> None:
     for path in PACKAGE.rglob("*.py"):
         assert not re.search(r"^(?:import|from) (asyncio|threading|concurrent)", path.read_text(), re.M), path
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -16,6 +16,7 @@
 from ospreyvale.program.app import App
 from ospreyvale.settings.config import config_from
 from ospreyvale.settings.edge import edge_from
+from ospreyvale.settings.timing import site_of
 from ospreyvale.transport.loop import Loop
 from ospreyvale.transport.network import Address, Network
 from tests.player import CONFIG, Events, target
@@ -83,10 +84,10 @@
     config: dict[str, Any] = CONFIG | {
         "listen": text(listen), "bus": text(free_address()),
         "known": {"offset": 1, "batch": [{"offset": 1, "topology": {"all": True, "targets": targets}}]}}
-    edge = {"m3ua": {"listen": text(m3ua), "circuits": 40, "exchange": [
-        {"number": 20, "address": text(old), "point_code": 20, "circuits": 30}]}}
-    app = App(config_from(config), edge_from(edge, "edge"), network, Events(),
-              lambda: config_from(config))
+    edge = (f'm3ua listen="{text(m3ua)}" circuits=40 {{\n'
+            f'exchange 20 address="{text(old)}" point-code=20 circuits=30\n}}')
+    read = config_from(config)
+    app = App(read, edge_from(edge, "edge", site_of(read)), network, Events(), lambda: config_from(config))
     loop.on_fault = None
     sip, peer = SipCaller(network, listen, journal), M3uaCaller(network, m3ua, journal, 9)
     assert until(loop, lambda: sip.link is not None and peer.active, 1_000.0)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -27,12 +27,15 @@
 from ospreyvale.routing.state import Offer
 from ospreyvale.routing.table import CallTable
 from ospreyvale.settings.config import ConfigError, config_from, read_config
+from ospreyvale.settings.document import DocumentError
 from ospreyvale.settings.edge import edge_from, read_edge
+from ospreyvale.settings.timing import site_of
 from ospreyvale.transport.loop import Loop
 from ospreyvale.transport.network import QUEUE_LIMIT, Connection, Link, Network
 from ospreyvale.transport.pool import Peer
 from tests.player import CONFIG, START, MemoryLink, NoPoller, Player, sip, target
 
+SITE = site_of(config_from(CONFIG))
 ROOT = Path(__file__).resolve().parent.parent
 
 
@@ -59,22 +62,27 @@
         config_from(changed(path, value))
 
 
-@pytest.mark.parametrize(("values", "text"), [
-    ({"m3ua": {"prefix": 0}}, "edge.m3ua.prefix is not a whole number from 1"),
-    ({"m3ua": {"listen": "here"}}, "edge.m3ua.listen is not an address"),
-    ({"m3ua": {"exchange": [{"number": 1}]}}, r"edge.m3ua.exchange\[0\].address is missing"),
-    ({"otlp": {"path": "x"}}, "edge.otlp.path is not a path"),
-    ({"counters": 1}, "edge.counters is not a table"),
+@pytest.mark.parametrize(("document", "text"), [
+    ("m3ua prefix=0", "edge: m3ua: prefix is 0; allowed: a whole number from 1 to 16"),
+    ('m3ua listen="here"', "edge: m3ua: listen is not an address and a port; allowed: as 127.0.0.1:4318"),
+    ("m3ua { exchange 1 point-code=1; }", "edge: m3ua > exchange 1: address is missing; allowed: a text"),
+    ('m3ua { exchange 1 address="127.0.0.1:1" point-code=1; exchange 1 address="127.0.0.1:1" point-code=2; }',
+     "edge: m3ua: has an exchange's number twice"),
+    ('otlp endpoint="127.0.0.1:1" path="x"', 'edge: otlp: path is "x"; allowed: one that begins with /'),
+    ("counters", "edge: counters: listen is missing; allowed: a text"),
+    ("m3ua;m3ua", "edge: m3ua stands 2 times; allowed: once"),
+    ("tls", "edge: node tls is not known; allowed: counters, m3ua, otlp, timing"),
 ])
-def test_a_wrong_edge_file_names_the_field(values: dict[str, Any], text: str) -> None:
-    with pytest.raises(ConfigError, match=text):
-        edge_from(values, "edge")
+def test_a_wrong_edge_file_names_the_node(document: str, text: str) -> None:
+    with pytest.raises(DocumentError) as caught:
+        edge_from(document, "edge", SITE)
+    assert text in caught.value.reasons
 
 
 def test_all_but_the_platforms_port_is_off() -> None:
-    edge = read_edge(ROOT / "deploy" / "edge.toml")
+    edge = read_edge(ROOT / "deploy" / "edge.kdl", SITE)
     assert (edge.m3ua.listen, edge.m3ua.exchanges) == (None, ())
-    assert (edge.otlp.endpoint, edge.counters) == (None, None)
+    assert (edge.otlp.endpoint, edge.counters, edge.timing) == (None, None, None)
 
 
 def test_the_program_ends_with_one_line_on_wrong_configuration(tmp_path: Path) -> None:
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -20,4 +20,5 @@
     imports = [line for line in text.splitlines() if line.startswith(("import ", "from "))]
     assert set(imports) <= {"from __future__ import annotations", "import math", "import zlib",
                             "from collections import OrderedDict, deque", "from operator import attrgetter",
-                            "from ospreyvale.routing import interface as i"}
+                            "from ospreyvale.routing import interface as i",
+                            "from ospreyvale.timing.engine import UNTIMED, Plan, Timing, Untimed"}
