Command line, planner, learned set-up times and structured log, with their tests

Need: a policy has to be checked and explained before it is put in force, and its waits have to come from somewhere. The plan of a call is asked about ends only where the call goes on. The release time no longer lengthens an attempt in the checker's timelines; it only bounds how late one may go out.

--- a/ospreyvale/__main__.py
+++ b/ospreyvale/__main__.py
@@ -1,7 +1,12 @@
-"""Starts one session controller."""
+"""Starts one session controller; with words, the command line."""
 
 import sys
 
-from ospreyvale.program.app import main
+if len(sys.argv) > 1:
+    from ospreyvale.program.cli import main as command
 
-sys.exit(main())
+    command()
+else:
+    from ospreyvale.program.app import main
+
+    sys.exit(main())
--- a/ospreyvale/operations/eventlog.py
+++ b/ospreyvale/operations/eventlog.py
@@ -22,11 +22,15 @@
         os.set_blocking(self.descriptor, False)
 
     def __call__(self, event: str, **fields: Any) -> None:
+        self.write(orjson.dumps({"ts": round(self.clock()), "node": self.name, "event": event, **fields},
+                                default=str, option=orjson.OPT_APPEND_NEWLINE))
+
+    def write(self, line: bytes) -> None:
+        """Queue one line, up to `QUEUE_LIMIT`; what comes beyond is counted."""
         if len(self._queue) > QUEUE_LIMIT:
             self.dropped += 1
-            return
-        self._queue += orjson.dumps({"ts": round(self.clock()), "node": self.name, "event": event, **fields},
-                                    default=str, option=orjson.OPT_APPEND_NEWLINE)
+        else:
+            self._queue += line
 
     def flush(self) -> None:
         """Write what is queued, as far as it goes without waiting."""
--- a/ospreyvale/program/app.py
+++ b/ospreyvale/program/app.py
@@ -249,6 +249,17 @@
             self.act(number)
 
 
+def event_log(loop: Loop, name: str, edge: Edge) -> EventLog:
+    """The log as the document wants it; the library is read where it has a `log` node only."""
+    if edge.log is None:
+        return EventLog(loop.clock, name)
+    try:
+        from ospreyvale.operations.structured import StructuredLog
+    except ImportError as error:
+        raise ConfigError(f"a log node needs the log extra: {error}") from None
+    return StructuredLog(loop.clock, name, edge.log)
+
+
 def main() -> int:
     """Run until SIGTERM; 2, with one line, where the configuration is wrong."""
     try:
@@ -259,10 +270,11 @@
         granted = config.sockets if most == resource.RLIM_INFINITY else min(config.sockets, most)
         resource.setrlimit(resource.RLIMIT_NOFILE, (granted, most))
         loop = Loop()
-        log = EventLog(loop.clock, config.name)
         shared = environment.get("TMPDIR")
         path = Path(environment.get("LB_EDGE") or EDGE)
-        app = App(config, read_edge(path, site_of(config)), Network(loop), log, lambda: read_config(environment),
+        edge = read_edge(path, site_of(config))
+        log = event_log(loop, config.name, edge)
+        app = App(config, edge, Network(loop), log, lambda: read_config(environment),
                   Path(shared) if shared else None, lambda site: read_edge(path, site))
     except DocumentError as error:
         print(*(f"ospreyvale: {reason}" for reason in error.reasons), sep="\n", file=sys.stderr)
--- a/ospreyvale/routing/control.py
+++ b/ospreyvale/routing/control.py
@@ -246,8 +246,6 @@
         doubt = event.outcome in (i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CANCELLED)
         if doubt:
             record.not_before = now + self.s.release_ms + 1.0
-        soonest = record.plan.ended(now, doubt, event.outcome is not i.Outcome.MOOT)
-        record.not_before = max(record.not_before, soonest)
         if cause is i.Cause.LINES_BUSY:
             self._is_busy(now, number, answers=1.0)
         elif event.outcome is i.Outcome.MOOT and cause is i.Cause.PROCESSOR_FULL:
@@ -273,6 +271,8 @@
         elif record.stands or now >= record.deadline - 1.0:
             self._answer(record, i.Fail(event.call))
         else:
+            soonest = record.plan.ended(now, doubt, event.outcome is not i.Outcome.MOOT)
+            record.not_before = max(record.not_before, soonest)
             self._decide(now, record)
 
     def _probed(self, now: float, event: i.Probed) -> None:
@@ -506,7 +506,7 @@
             return False  # the policy of its class and route
         if not all(self._bears(now, end) for end in (far, self.own) if now < end.cold_until):
             return False
-        record.plan.sent(now, direct, far.number, far.zone)
+        record.plan.sent(now)
         record.out = far
         record.attempts += 1
         if direct:
--- a/ospreyvale/settings/document.py
+++ b/ospreyvale/settings/document.py
@@ -19,7 +19,7 @@
 # Strings and comments, so that what looks like a property within them is passed over.
 _TEXT = re.compile(r'(#+)"""[\s\S]*?"""\1|(#+)".*?"\2|r(#*)".*?"\3|"""[\s\S]*?"""|"(?:\\.|[^"\\])*"'
                    r'|//[^\n]*|/\*[\s\S]*?\*/')
-_PROPERTY = re.compile(r"(/-\s*)?([^\s={}();/\\\"#]+)=")
+_PROPERTY = re.compile(r"(/-\s*)?([^\s={}();/\\\"#]+)[ \t]*=")
 
 
 class DocumentError(ValueError):
@@ -160,8 +160,8 @@
     except (ValueError, OverflowError) as error:
         raise DocumentError([f"{file}: line {_line_of(text, str(error))}: not KDL: {error}"]) from None
     problems = Problems(file)
-    for line, name in _repeated(text):
-        problems.add("", f"line {line}: property {name} stands twice in one node; allowed: once")
+    for line, reason in _overlooked(text):
+        problems.add("", f"line {line}: {reason}")
     return Reader(ckdl.Node("document", *document.nodes), "", problems), problems
 
 
@@ -191,19 +191,22 @@
     return place
 
 
-def _repeated(text: str) -> list[tuple[int, str]]:
-    """Properties that stand twice in a node: the parser keeps the last one and says nothing."""
-    blank = _TEXT.sub(lambda found: re.sub(r"[^\n]", " ", found.group()), text)
+def _overlooked(text: str) -> list[tuple[int, str]]:
+    """What the parser takes without a word: of a property that stands twice the last, `name= {` as no property."""
+    blank = _TEXT.sub(lambda found: re.sub(r"[^\n]", "x", found.group()) if found.group()[0] not in "/" else
+                      re.sub(r"[^\n]", " ", found.group()), text)
     blank = re.sub(r"\\[ \t]*\n", lambda found: " " * len(found.group()), blank)  # a node goes on
     found: list[tuple[int, str]] = []
     at = 0
     for part in re.split(r"([;{}\n])", blank):
-        seen: set[str] = set()
+        line, seen = text.count("\n", 0, at) + 1, set[str]()
         for dropped, name in _PROPERTY.findall(part):
             if not dropped and name in seen:
-                found.append((text.count("\n", 0, at) + 1, name))
+                found.append((line, f"property {name} stands twice in one node; allowed: once"))
             if not dropped:
                 seen.add(name)
+        if part.rstrip().endswith("="):
+            found.append((line, "a property has no value"))
         at += len(part)
     return found
 
--- a/ospreyvale/settings/edge.py
+++ b/ospreyvale/settings/edge.py
@@ -12,6 +12,8 @@
 from ospreyvale.transport.network import Address
 
 LARGEST_CIC = 4_095
+LEVELS = ("debug", "info", "warning", "error")
+FIELDS_TAKEN = ("ts", "node", "event", "level")
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +46,15 @@
     interval_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class LogConfig:
+    """The event log with levels; without the node every event is written as it is."""
+
+    level: str
+    without: frozenset[str]
+    fields: tuple[tuple[str, str], ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Edge:
     """All of the file."""
@@ -52,6 +63,7 @@
     otlp: OtlpConfig
     counters: Address | None
     timing: Policy | None = None
+    log: LogConfig | None = None
 
 
 def read_edge(path: Path, site: Site) -> Edge:
@@ -65,7 +77,8 @@
     m3ua = _m3ua(top.child("m3ua"))
     reached = {*site.exchanges, *(exchange.number for exchange in m3ua.exchanges)}
     timing = policy_of(top, problems, replace(site, exchanges=tuple(sorted(reached))), text)
-    edge = Edge(m3ua, _otlp(top.child("otlp")), _counters(top.child("counters")), timing)
+    edge = Edge(m3ua, _otlp(top.child("otlp")), _counters(top.child("counters")), timing,
+                _log(top.child("log")))
     top.done()
     problems.refuse()
     return edge
@@ -114,6 +127,26 @@
     return listen
 
 
+def _log(node: Reader | None) -> LogConfig | None:
+    if node is None:
+        return None
+    level = node.text("level", "info")
+    if level not in LEVELS:
+        node.refuse(f'level is "{level}"; allowed: {", ".join(LEVELS)}')
+    without, fields = set(), {}
+    for child in node.children("without"):
+        without.add(str(child.argument("the name of an event")))
+        child.done()
+    for child in node.children("field"):
+        name, value = child.argument("a name"), child.argument("a text")
+        if name in FIELDS_TAKEN:
+            child.refuse(f'"{name}" is written by the log itself; allowed: another name')
+        fields[str(name)] = str(value)
+        child.done()
+    node.done()
+    return LogConfig(level, frozenset(without), tuple(sorted(fields.items())))
+
+
 def _address(node: Reader, name: str) -> Address:
     text = node.text(name)
     try:
--- a/ospreyvale/timing/checker.py
+++ b/ospreyvale/timing/checker.py
@@ -15,7 +15,7 @@
 
 import math
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ospreyvale.timing.policy import Attempt, ClassTiming, Policy, Route, Site
 
@@ -31,6 +31,7 @@
     starts_ms: float
     ends_ms: float
     gap_ms: float  # since the attempt before it, at its shortest
+    needs_ms: float  # by when it must be possible to answer, or it is not sent
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,11 +93,11 @@
             step = _next(timing, route, used[place], steps, due, site)
             if step is None:
                 continue
-            if steps and step.ends_ms > due:  # the first one always goes out, for as long as there is
-                held = held or f"{step.route} {step.number}, which would end at {ms(step.ends_ms)}"
+            if steps and step.needs_ms > due:  # the first one always goes out, for as long as there is
+                held = held or f"{step.route} {step.number}, which would need until {ms(step.needs_ms)}"
                 continue
             followed = True
-            clipped = Step(step.route, step.number, step.starts_ms, min(step.ends_ms, due), step.gap_ms)
+            clipped = replace(step, ends_ms=min(step.ends_ms, due))
             waiting.append(((*steps, clipped), tuple(n + (at == place) for at, n in enumerate(used))))
         if steps and not followed:
             made += 1
@@ -110,16 +111,16 @@
         return None
     attempt = route.attempts[used] if route.attempts else Attempt(math.inf, site.release_ms)
     if not steps:
-        return Step(route.title, 1, 0.0, attempt.wait_ms, math.inf)
+        ends = due if math.isinf(attempt.wait_ms) else attempt.wait_ms
+        return Step(route.title, 1, 0.0, ends, math.inf, ends)
     failed, last = len(steps), steps[-1]
     least, most = attempt.gap_ms, attempt.gap_ms
     if route.back_off is not None:
         least, most = max(least, route.back_off.least(failed)), max(most, route.back_off.most(failed))
     starts = max(last.ends_ms + most + site.late_ms, attempt.copy_after_ms + site.late_ms)
+    wait = max(due - starts, 0.0) if math.isinf(attempt.wait_ms) else attempt.wait_ms
     # Nothing goes out so late that the module would already have answered: see Control._decide.
-    ends = starts + max(min(attempt.wait_ms, max(due - starts, 0.0)) if math.isinf(attempt.wait_ms)
-                        else attempt.wait_ms, site.release_ms)
-    return Step(route.title, used + 1, starts, ends, least)
+    return Step(route.title, used + 1, starts, starts + wait, least, starts + max(wait, site.release_ms))
 
 
 def _most(route: Route, site: Site) -> int:
@@ -163,8 +164,10 @@
         step = _next(timing, route, place, steps, due, site)
         if step is None:
             return
-        if step.ends_ms > due:
-            yield (f"{name}: attempt {place + 1}, out from {ms(step.starts_ms)}, would end at {ms(step.ends_ms)}; "
+        if step.needs_ms > due:
+            end = f"would end at {ms(step.ends_ms)}" if step.ends_ms > due else (
+                f"would need until {ms(step.needs_ms)}, the release time included")
+            yield (f"{name}: attempt {place + 1}, out from {ms(step.starts_ms)}, {end}; "
                    f"the final answer is due by {ms(due)}" + _laid_out(steps))
             return
         steps = (*steps, step)
--- a/ospreyvale/timing/engine.py
+++ b/ospreyvale/timing/engine.py
@@ -24,7 +24,7 @@
     spent: bool  # nothing more may go out: it is answered at once
 
     def wait(self, now: float, direct: bool, number: int, zone: int) -> float | None: ...
-    def sent(self, now: float, direct: bool, number: int, zone: int) -> None: ...
+    def sent(self, now: float) -> None: ...
     def ended(self, now: float, in_doubt: bool, left: bool) -> float: ...
 
 
@@ -40,7 +40,7 @@
     def wait(self, now: float, direct: bool, number: int, zone: int) -> float | None:
         return 0.0
 
-    def sent(self, now: float, direct: bool, number: int, zone: int) -> None:
+    def sent(self, now: float) -> None:
         return
 
     def ended(self, now: float, in_doubt: bool, left: bool) -> float:
@@ -103,8 +103,9 @@
 
     def affords(self, place: int, destination: int, budget: Budget, now: float) -> bool:
         """Whether another attempt may be paid for."""
-        return all(bucket.fill(now, rate) >= 1.0
-                   for bucket, rate in self._buckets(place, destination, budget, now))
+        # Both are filled first: one that is passed over would miss what time brought it.
+        levels = [bucket.fill(now, rate) for bucket, rate in self._buckets(place, destination, budget, now)]
+        return min(levels) >= 1.0
 
     def pay(self, place: int, destination: int, budget: Budget, now: float) -> None:
         """Another attempt goes out."""
@@ -132,13 +133,13 @@
     """The plan of one call under a policy."""
 
     __slots__ = ("attempts", "chance", "deadline", "destination", "engine", "first_at", "in_doubt", "last_end",
-                 "place", "spent", "timing", "used")
+                 "place", "route", "spent", "timing", "used")
 
     def __init__(self, engine: Timing, timing: ClassTiming, place: int, destination: int,
                  deadline: float) -> None:
         self.engine, self.timing, self.place, self.destination = engine, timing, place, destination
         self.deadline, self.spent = deadline, False
-        self.attempts, self.used = 0, [0] * len(timing.routes)
+        self.attempts, self.used, self.route = 0, [0] * len(timing.routes), 0
         self.first_at = self.last_end = -math.inf
         self.in_doubt, self.chance = False, 0.5
 
@@ -148,7 +149,7 @@
         The first attempt of a call goes out for as long as there is; a further one only where it can be out for
         its whole wait, and not so late that the module would have answered.
         """
-        place = self.timing.place(direct, number, zone)
+        self.route = place = self.timing.place(direct, number, zone)
         route = self.timing.routes[place]
         left = self.deadline - now
         attempt = self._next(place, route)
@@ -162,8 +163,8 @@
             return None
         return min(attempt.wait_ms, left)
 
-    def sent(self, now: float, direct: bool, number: int, zone: int) -> None:
-        """An attempt goes out over that route."""
+    def sent(self, now: float) -> None:
+        """An attempt goes out, over the route that `wait` was last asked about."""
         budget = self.timing.budget
         if self.attempts == 0:
             self.first_at = now
@@ -174,7 +175,7 @@
             if budget is not None:
                 self.engine.pay(self.place, self.destination, budget, now)
         self.attempts += 1
-        self.used[self.timing.place(direct, number, zone)] += 1
+        self.used[self.route] += 1
 
     def ended(self, now: float, in_doubt: bool, left: bool) -> float:
         """The attempt has ended: when the next may go out at the soonest.
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -190,6 +190,11 @@
 
     # ---- the checker ----
 
+    def recorded_destination(self, call: int) -> int:
+        """Where a call was to go."""
+        return next(event.destination for _, event, _ in self.recorded
+                    if isinstance(event, i.Call) and event.call == call)
+
     def run(self, duration: float) -> None:
         self.clock.run(self.clock.now + duration)
 
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,141 @@
+"""The command line: what it prints, and how it ends."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner, Result
+
+from ospreyvale.operations.structured import LEVEL_OF, StructuredLog
+from ospreyvale.program.app import event_log
+from ospreyvale.program.cli import main
+from ospreyvale.settings.config import config_from
+from ospreyvale.settings.document import DocumentError
+from ospreyvale.settings.edge import LogConfig, edge_from
+from ospreyvale.settings.timing import site_of
+from ospreyvale.transport.loop import Loop
+from tests.player import CONFIG, NoPoller
+from tests.test_timing_documents import GOOD
+from tests.test_timing_planner import figures
+
+ROOT = Path(__file__).resolve().parent.parent
+SITE = site_of(config_from(CONFIG))
+
+
+@pytest.fixture
+def files(tmp_path: Path) -> Path:
+    (tmp_path / "config.json").write_text(json.dumps(CONFIG))
+    (tmp_path / "good.kdl").write_text(GOOD.replace('via=3', 'via=2'))
+    (tmp_path / "bad.kdl").write_text('timing { class "gold"; class "item-hold" gives-up-ms=0; }')
+    (tmp_path / "off.kdl").write_text("// nothing")
+    (tmp_path / "figures.json").write_text(json.dumps(figures()))
+    return tmp_path
+
+
+def run(files: Path, *words: str) -> Result:
+    return CliRunner().invoke(main, [str(files / word) if word.endswith(("kdl", "json")) else word for word in words])
+
+
+SETTINGS = ("--settings", "config.json")
+
+
+def test_check_ends_with_0_or_with_2_and_every_reason(files: Path) -> None:
+    good = run(files, "check", "good.kdl", *SETTINGS)
+    assert (good.exit_code, good.stderr) == (0, "") and good.stdout.startswith("good.kdl: good, timing ")
+    assert run(files, "check", "off.kdl", *SETTINGS).stdout == "off.kdl: good, no timing\n"
+    bad = run(files, "check", "bad.kdl", *SETTINGS)
+    assert (bad.exit_code, bad.stdout) == (2, "")
+    assert bad.stderr.splitlines() == [
+        'bad.kdl: timing > class "gold": is not a class of the settings; allowed: stock-check, item-hold',
+        'bad.kdl: timing > class "item-hold": gives-up-ms is 0; allowed: a number above 0 to 6000']
+    assert run(files, "check", "none.kdl", *SETTINGS).stderr == "none.kdl: cannot be read: No such file or directory\n"
+    wrong = run(files, "check", "good.kdl", "--settings", "good.kdl")
+    assert wrong.exit_code == 2 and wrong.stderr.startswith("good.kdl: LB_CONFIG is not JSON")
+
+
+def test_explain_lays_out_each_order_the_latest_answer_first(files: Path) -> None:
+    lines = run(files, "timing", "explain", "good.kdl", *SETTINGS, "--class", "item-hold").stdout.splitlines()
+    assert lines[0].startswith("item-hold: ") and len(lines) > 5
+    assert "not sent: " in "".join(lines) and all("due by 1,795 ms" in line for line in lines[1:])
+    assert "today's values hold" in run(files, "timing", "explain", "off.kdl", *SETTINGS).stderr
+
+
+def test_show_gives_what_is_inherited(files: Path) -> None:
+    shown = json.loads(run(files, "timing", "show", "good.kdl", *SETTINGS).stdout)
+    assert [a["wait_ms"] for a in shown["stock-check"]["routes"]["transit"]["attempts"]] == [2000.0]
+
+
+def test_plan_proposes_a_document_that_check_accepts(files: Path) -> None:
+    planned = run(files, "timing", "plan", "--from", "figures.json", *SETTINGS, "--gives-up", "item-hold=1800",
+                  "--retries", "0.5")
+    assert planned.exit_code == 0, planned.stderr
+    assert "expected worth" in planned.stdout and "today's values" in planned.stdout
+    (files / "planned.kdl").write_text(planned.stdout)
+    assert run(files, "check", "planned.kdl", *SETTINGS).exit_code == 0
+
+
+@pytest.mark.parametrize(("words", "text"), [
+    (("--from", "bad.kdl"), "bad.kdl: Expecting value"),
+    (("--from", "config.json"), "config.json: times is not a list"),
+    (("--from", "figures.json", "--gives-up", "gold=1"), "--gives-up: gold is not a class of the settings"),
+    (("--from", "figures.json", "--gives-up", "gold"), "gold is not NAME=MS")])
+def test_plan_refuses_what_it_cannot_use(files: Path, words: tuple[str, ...], text: str) -> None:
+    planned = run(files, "timing", "plan", *SETTINGS, *words)
+    assert planned.exit_code == 2 and text in planned.stderr
+
+
+def test_without_words_the_program_starts_without_the_command_lines_libraries() -> None:
+    code = ("import sys; sys.argv = ['ospreyvale']; sys.path.insert(0, '.')\n"
+            "try: import ospreyvale.__main__\n"
+            "except SystemExit: pass\n"
+            "print([name for name in ('click', 'structlog', 'hdrh', 'asyncio', 'threading') if name in sys.modules])")
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=60,
+                          check=True)
+    assert done.stdout == "[]\n" and done.stderr == "ospreyvale: LB_CONFIG is not set\n"
+
+
+def test_serve_takes_its_files_from_the_words(tmp_path: Path) -> None:
+    (tmp_path / "c.json").write_text("{}")
+    done = subprocess.run([sys.executable, "-m", "ospreyvale", "serve", "--config", str(tmp_path / "c.json")], cwd=ROOT,
+                          capture_output=True, text=True, timeout=60, check=False)
+    assert (done.returncode, done.stderr) == (2, "ospreyvale: name is missing\n")
+
+
+class Kept(StructuredLog):
+    """Keeps its lines."""
+
+    def __init__(self, config: LogConfig) -> None:
+        self.lines: list[dict[str, Any]] = []
+        super().__init__(lambda: 1234.5, "n0", config)
+
+    def write(self, line: bytes) -> None:
+        assert line.endswith(b"\n")
+        self.lines.append(json.loads(line))
+
+
+def test_the_structured_log_writes_levels_and_fields_and_leaves_out_what_it_is_told() -> None:
+    log = Kept(LogConfig("info", frozenset({"ready"}), (("site", "trakiya"),)))
+    for event in ("call", "ready", "started", "fault"):
+        log(event, why="x")
+    assert log.lines == [
+        {"node": "n0", "site": "trakiya", "why": "x", "event": event, "level": level, "ts": 1234}
+        for event, level in (("started", "info"), ("fault", "error"))]
+    assert set(LEVEL_OF.values()) <= {"debug", "info", "warning", "error"}
+
+
+def test_the_log_node_turns_it_on() -> None:
+    loop = Loop(lambda: 0.0, NoPoller())
+    assert type(event_log(loop, "n0", edge_from("", "e", SITE))).__name__ == "EventLog"
+    edge = edge_from('log level="warning" { without "call"; field "site" "trakiya"; }', "e", SITE)
+    assert type(event_log(loop, "n0", edge)).__name__ == "StructuredLog"
+    with pytest.raises(DocumentError) as caught:
+        edge_from('log level="loud" { without; field "ts" "x"; }', "e", SITE)
+    assert caught.value.reasons == [
+        'e: log: level is "loud"; allowed: debug, info, warning, error',
+        "e: log > without: has no argument; allowed: the name of an event",
+        'e: log > field "ts": "ts" is written by the log itself; allowed: another name']
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -71,7 +71,7 @@
     ('otlp endpoint="127.0.0.1:1" path="x"', 'edge: otlp: path is "x"; allowed: one that begins with /'),
     ("counters", "edge: counters: listen is missing; allowed: a text"),
     ("m3ua;m3ua", "edge: m3ua stands 2 times; allowed: once"),
-    ("tls", "edge: node tls is not known; allowed: counters, m3ua, otlp, timing"),
+    ("tls", "edge: node tls is not known; allowed: counters, log, m3ua, otlp, timing"),
 ])
 def test_a_wrong_edge_file_names_the_node(document: str, text: str) -> None:
     with pytest.raises(DocumentError) as caught:
--- /dev/null
+++ b/tests/test_timing_planner.py
@@ -0,0 +1,128 @@
+"""The planner against exhaustive search, its estimate against times that were cut off, and what it proposes."""
+
+from __future__ import annotations
+
+import math
+import random
+from typing import Any
+
+import pytest
+
+from ospreyvale.settings.timing import policy_in
+from ospreyvale.timing.learned import KEYS_MOST, LONGEST_MS, SetUpTimes
+from ospreyvale.timing.planner import (
+    Chain,
+    Chances,
+    Terms,
+    chances,
+    exhaustive,
+    expected,
+    plan,
+    terms_of,
+    today,
+)
+from ospreyvale.timing.policy import SiteClass
+from ospreyvale.timing.proposal import document, propose
+from tests.test_timing_documents import SITE
+
+HOLD = SiteClass("item-hold", 1000.0, 6000.0, 5.0, 0.25)
+
+
+def drawn(source: random.Random, steps: int) -> Chances:
+    """Times with one hump, a tail, some that never stand and some that are refused."""
+    weights = [source.random() ** 3 for _ in range(steps)]
+    whole = sum(weights) / source.uniform(0.5, 0.95)
+    refused = [0.05 * source.random() / steps for _ in range(steps)]
+    return Chances(100.0, tuple(weight / whole for weight in weights), tuple(refused), 1_000)
+
+
+@pytest.mark.parametrize("seed", range(24))
+@pytest.mark.parametrize("retries", [0.0, 0.08, 0.3, 4.0])
+def test_the_plan_is_as_good_as_trying_every_list_of_waits(seed: int, retries: float) -> None:
+    source = random.Random(seed)
+    chance = drawn(source, 14)
+    terms = Terms(1_400.0, 200.0 + 100.0 * (seed % 3), 200.0, 2 + seed % 2, retries)
+    found, best = plan(HOLD, chance, terms), exhaustive(HOLD, chance, terms)
+    assert found.worth == pytest.approx(best.worth, abs=1e-9)
+    assert found.retries <= retries + 1e-9
+    again = expected(HOLD, chance, terms, found.waits_ms)
+    assert again is not None and again.worth == pytest.approx(found.worth)
+    assert found.worth >= today(HOLD, chance, terms).worth - 1e-9
+
+
+def test_times_that_were_cut_off_count_as_longer_not_as_lost() -> None:
+    """Half of 100 set-ups took 150 ms and half 450 ms; a wait of 200 ms cut off 30 of the latter."""
+    known = chances([(150, 50), (450, 20)], [], [(200, 30)], 100.0, 10)
+    assert sum(known.stood) == pytest.approx(1.0) and known.samples == 100
+    assert known.stood[1] == pytest.approx(0.5) and known.stood[4] == pytest.approx(0.5)
+
+
+def test_lost_set_ups_earn_an_earlier_second_attempt() -> None:
+    lost = chances([(120, 700)], [], [(1_800, 300)], 40.0, 45)
+    found = plan(HOLD, lost, Terms(1_800.0, 350.0, 300.0, 4, 1.0))
+    assert found.waits_ms[0] == 120.0 and len(found.waits_ms) > 1
+    assert found.worth > 1.25 * today(HOLD, lost, Terms(1_800.0, 350.0, 300.0, 4, 1.0)).worth
+    assert plan(HOLD, lost, Terms(1_800.0, 350.0, 300.0, 4, 0.0)).retries == 0.0
+
+
+def figures() -> dict[str, Any]:
+    return {"times": [
+        {"class": "item-hold", "kind": "direct", "exchange": 1, "stood": [[80, 400], [130, 300]], "refused": [[20, 9]],
+         "in_doubt": [[1800, 200]]},
+        {"class": "item-hold", "kind": "direct", "exchange": 2, "stood": [[90, 100]], "refused": [], "in_doubt": []},
+        {"class": "item-hold", "kind": "transit", "exchange": 3, "stood": [[700, 60]], "refused": [],
+         "in_doubt": [[1800, 20]]},
+        {"class": "stock-check", "kind": "direct", "exchange": 1, "stood": [[80, 5]], "refused": [], "in_doubt": []}]}
+
+
+@pytest.mark.parametrize("retries", [0.0, 0.05, 0.5, 3.0])
+@pytest.mark.parametrize("gives_up", [{}, {"item-hold": 1_800.0}, {"item-hold": 2_345.0, "stock-check": 2_700.0}])
+def test_what_is_proposed_is_accepted_by_the_checker(retries: float, gives_up: dict[str, float]) -> None:
+    found = propose(figures(), SITE, gives_up, retries)
+    text = document(found, gives_up, retries)
+    policy = policy_in(text, "plan", SITE)
+    assert policy is not None, text
+    assert "stock-check" in text and "5 times are too few; today's values hold" in text
+    direct = next(p for p in found if (p.call_class, p.kind) == ("item-hold", "direct"))
+    assert direct.samples == 1_009 and direct.chain is not None and direct.now is not None
+    assert (len(direct.chain.waits_ms) > 1) == (retries >= 0.5)  # a fifth is given up after its wait
+    assert direct.chain.worth > direct.now.worth or retries < 0.5
+
+
+@pytest.mark.parametrize(("figures", "text"), [
+    ({}, "times is not a list"), ({"times": [3]}, r"times\[0\] is wrong: TypeError"),
+    ({"times": [{"class": "item-hold", "kind": "direct"}]}, r"times\[0\] is wrong: KeyError 'stood'"),
+    ({"times": [{"class": "item-hold", "kind": "direct", "stood": [["x", 1]], "refused": [], "in_doubt": []}]},
+     r"times\[0\] is wrong: ValueError")])
+def test_figures_that_make_no_sense_are_refused(figures: dict[str, Any], text: str) -> None:
+    with pytest.raises(ValueError, match=text):
+        propose(figures, SITE, {}, 0.1)
+
+
+def test_terms_follow_the_rules_and_the_module() -> None:
+    assert terms_of(SITE, HOLD, "transit", 1_800.0, 0.1) == Terms(1_800.0, 350.0, 300.0, 2, 0.1)
+    assert terms_of(SITE, HOLD, "direct", 9_999.0, 0.1).due_ms == 6_000.0
+    assert expected(HOLD, Chances(100.0, (0.0,) * 10, (0.0,) * 10, 0), Terms(1_000.0, 300.0, 300.0, 2, 1.0),
+                    (500.0, 600.0)) is None
+
+
+def test_learned_times_are_kept_for_one_to_two_windows_and_within_bounds() -> None:
+    times = SetUpTimes(window_ms=1_000.0)
+    for at, ms in ((0.0, 100.0), (900.0, 200.0), (1_500.0, 1e9)):
+        times.add(at, "item-hold", True, 1, "stood", ms)
+    assert [len(row["stood"]) for row in times.figures(1_600.0)["times"]] == [3]
+    (row,) = times.figures(2_600.0)["times"]
+    (longest, count), = row["stood"]
+    assert count == 1 and longest <= LONGEST_MS * 1.01
+    assert times.figures(9_000.0)["times"] == []
+    for exchange in range(3 * KEYS_MOST):
+        times.add(9_100.0, "item-hold", False, exchange, "in_doubt", 10.0)
+    assert len(times.figures(9_200.0)["times"]) == KEYS_MOST
+    times.add(-5_000.0, "item-hold", True, 1, "refused", -3.0)  # the clock stepped back
+    assert len(times.figures(-4_999.0)["times"]) == 1
+
+
+def test_an_empty_chain_is_never_planned() -> None:
+    nothing = Chances(100.0, (0.0,) * 14, (0.0,) * 14, 100)
+    found = plan(HOLD, nothing, Terms(1_400.0, 300.0, 300.0, 3, 1.0))
+    assert isinstance(found, Chain) and len(found.waits_ms) == 1 and not math.isnan(found.worth)
