--- a/ospreyvale/routing/core.py
+++ b/ospreyvale/routing/core.py
@@ -67,6 +67,12 @@
             return
         self._abandon(state)
 
+    def disown(self, call: int) -> None:
+        """A call of a life before this one, which may stand at any exchange: it is released wherever it can be."""
+        self.context.counters["calls_disowned"] += 1
+        for address, entry in self.context.roster.entries.items():
+            entry.port.release(call, address)
+
     def hang_up(self, call: int) -> bool:
         """The caller's side ends a call that stands; False when there is none."""
         state = self.context.table.calls.get(call)
