Device sessions: one call for one request over lossy links, answers said until they are heard

Need: shops behind links that lose, stall and change address must get exactly one answer before their caller gives up. Change: docs/device-protocol.md and its codec (CBOR, a proof on each datagram); ospreyvale/devices holds keys, a replay window, RFC 6298 time-outs by path, limits with a count-min sketch, sessions that outlive an address (paths proved before more than 3 times what came), a two-generation index of requests, and the desk with an outbox for each device. lab/ has the impairment model, a phone and a world on a virtual clock. Not yet in the program.

--- /dev/null
+++ b/lab/world.py
@@ -0,0 +1,171 @@
+"""Phones on impaired links, the edge for devices, the real core and exchanges of a script, on one virtual clock.
+
+`World.faults` reads what the phones were told and what the exchanges hold, and knows nothing of the edge's state.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from lab.impairment import Impairment, Link
+from lab.phone import Phone, Placed
+from ospreyvale.devices.counter import CounterWire, Strangers
+from ospreyvale.devices.desk import Desk
+from ospreyvale.devices.keys import Keys
+from ospreyvale.devices.limits import Limits
+from ospreyvale.devices.sessions import Address, Sessions
+from ospreyvale.routing import interface as i
+from ospreyvale.routing.state import SetUpOrder
+from tests.rig import NAMES, SETTINGS, Rig, VirtualClock
+
+GRACE_MS = 20.0
+
+
+class Edge:
+    """One life of the edge for devices."""
+
+    def __init__(self, clock: VirtualClock, rig: Rig, keys: Keys, source: random.Random, counters: Counter[str],
+                 send: Callable[[Address, bytes], None], most: int, limits: Limits) -> None:
+        self.sessions = Sessions(most, 300_000.0, lambda session: self.desk.gone(session))
+        self.desk = Desk(clock, rig.core, self.sessions, source.randbytes(8),
+                         tuple(kind.worth for kind in SETTINGS.classes), SETTINGS.release_ms, limits, counters,
+                         lambda event, **fields: None)
+        self.strangers = Strangers(clock.now, limits, source.randbytes, counters)
+        self.counter = CounterWire(clock, self.desk, self.sessions, keys, NAMES,
+                                   tuple(kind.deadline_ms for kind in SETTINGS.classes), self.strangers,
+                                   source.randbytes, counters, send)
+
+
+class World:
+    """All of it; each phone has a link and an address of its own."""
+
+    def __init__(self, seed: int, model: Impairment, phones: int = 4, insist: bool = True, free: float = 40.0,
+                 behave: Callable[[SetUpOrder], tuple[str, float]] = lambda order: ("answer", 30.0),
+                 most: int = 10_000, limits: Limits | None = None, models: dict[int, Impairment] | None = None) -> None:
+        self.source, self.limits, self.most = random.Random(seed), limits or Limits(), most
+        self.rig = Rig(behave, free=free)
+        self.clock = self.rig.clock
+        self.clock.run(self.clock.now + 200.0)
+        self.counters: Counter[str] = Counter()
+        self.keys = Keys({f"phone-{n}": {1: self.source.randbytes(32)} for n in range(phones)})
+        self.owner: dict[Address, int] = {}
+        self.taken: dict[Address, int] = {}  # addresses that a link gave to another phone
+        self.down: list[tuple[float, Address, int]] = []  # what the edge sent: when, where, how much
+        self.edge_up = True
+        self.edge = self._edge()
+        self.links = [Link((models or {}).get(n, model), 1_000 * seed + n, self.clock.now) for n in range(phones)]
+        self.phones = [Phone(self.clock, f"phone-{n}", self.keys.by_device[f"phone-{n}"][1], 77 * seed + n,
+                             lambda data, n=n: self.up(n, data), insist)  # type: ignore[misc]
+                       for n in range(phones)]
+
+    def _edge(self) -> Edge:
+        return Edge(self.clock, self.rig, self.keys, self.source, self.counters, self.deliver, self.most, self.limits)
+
+    # ---- the network ----
+
+    def address(self, phone: int) -> Address:
+        """Where a phone is now: its address changes as its link's script says."""
+        return f"127.8.{self.links[phone].moved(self.clock.now)}.{phone % 250}", 5_000 + phone
+
+    def up(self, phone: int, data: bytes) -> None:
+        address = self.address(phone)
+        self.owner[address] = phone
+        for at in self.links[phone].fate("up", self.clock.now):
+            self.clock.at(at, lambda: self._arrives(address, data))
+
+    def _arrives(self, address: Address, data: bytes) -> None:
+        if self.edge_up:
+            self.edge.counter.hear(address, data)
+
+    def deliver(self, address: Address, data: bytes) -> None:
+        """Down to whoever is at the address now: one that has moved on hears nothing there."""
+        self.down.append((self.clock.now, address, len(data)))
+        phone = self.taken.get(address, self.owner.get(address))
+        if phone is None:
+            return
+        for at in self.links[phone].fate("down", self.clock.now):
+            self.clock.at(at, lambda: self.phones[phone].hear(data) if address in self.taken
+                          or self.address(phone) == address else None)
+
+    # ---- what happens ----
+
+    def run(self, duration: float) -> None:
+        self.clock.run(self.clock.now + duration)
+
+    def attach(self) -> None:
+        for phone in self.phones:
+            phone.attach()
+        self.run(3_000.0)
+
+    def crash(self, away_ms: float = 0.0) -> None:
+        """The controller dies and comes back with nothing; its exchanges still hold what stands."""
+        for session in list(self.edge.sessions.by_device.values()):
+            for item in session.outbox.values():
+                if item.timer is not None:
+                    item.timer.cancel()
+        for request in self.edge.desk.index.live.values():
+            if request.timer is not None:
+                request.timer.cancel()
+        for state in list(self.rig.core.context.table.calls.values()):
+            for timer in (state.timer, state.out.timer if state.out is not None else None):
+                if timer is not None:
+                    timer.cancel()
+            if state.out is not None and not state.standing:  # its connection to the exchange is gone
+                self.rig.cancel(state.call, state.out.line.address)
+        before = self.rig
+        before.core.context.clock = VirtualClock()  # the dead one's timers come to nothing
+        self.rig = Rig(before.behave, free=0.0)
+        self.rig.adopt(before)
+        before.core = self.rig.core  # what the exchanges say of calls that stood goes to the new one
+        self.edge_up = False
+        self.clock.at(self.clock.now + away_ms, self._back)
+
+    def _back(self) -> None:
+        self.edge_up = True
+        self.edge = self._edge()
+
+    def calls(self, count: int, gap_ms: float, patience_ms: float = 1_800.0, holds: float = 0.3) -> list[Placed]:
+        """So many calls of phones and exchanges that are drawn, and the time until the last is over."""
+        placed = []
+        for _ in range(count):
+            phone = self.source.choice(self.phones)
+            name = NAMES[self.source.random() < holds]
+            placed.append(phone.call(name, self.source.randint(1, 4), patience_ms))
+            self.run(self.source.expovariate(1 / gap_ms))
+        self.run(20_000.0)
+        return placed
+
+    def faults(self) -> list[str]:
+        """Requests with two answers or none, answers after their time, circuits that nobody has."""
+        found = []
+        for phone in self.phones:
+            for placed in phone.placed.values():
+                said = placed.request.hex()
+                if len(placed.answers) + placed.gave_up != 1:
+                    found.append(f"{said}: {[how for _, how in placed.answers]}, gave up: {placed.gave_up}")
+                if placed.answers and placed.answers[0][0] > placed.asked_at + placed.patience_ms + GRACE_MS:
+                    found.append(f"{said}: answered after {placed.answers[0][0] - placed.asked_at:.0f} ms")
+        taken = {number: free for number, free in self.rig.free.items() if free != self.rig.whole}
+        if taken:
+            found.append(f"circuits are taken: {taken}, stand: {self.rig.stands}")
+        return found + [fault for seen in self.rig.seen.values() for fault in seen.faults]
+
+    def worth(self, placed: list[Placed], call_class: str = "") -> float:
+        """The share of worth that stood within the wanted time, as the phones saw it."""
+        offered = earned = 0.0
+        for one in placed:
+            kind: i.CallClass = SETTINGS.classes[NAMES.index(one.call_class)]
+            if call_class in ("", one.call_class):
+                offered += kind.worth
+                if one.answers and one.answers[0][1] == "stands":
+                    whole = one.answers[0][0] - one.asked_at <= kind.aim_ms
+                    earned += kind.worth * (1.0 if whole else kind.late_worth)
+        return earned / offered if offered else 0.0
+
+
+def figures(world: World) -> dict[str, Any]:
+    """The edge's counters, sorted."""
+    return dict(sorted(world.counters.items()))
--- /dev/null
+++ b/ospreyvale/devices/counter.py
@@ -0,0 +1,242 @@
+"""The counter protocol's side of the edge: who may speak, which path it was, and what is acknowledged.
+
+docs/device-protocol.md says what the datagrams are.  Strangers get a challenge at most, no longer than what they sent,
+within limits; all that is proved goes to the desk.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from ospreyvale.devices.desk import Ask, Desk, Item
+from ospreyvale.devices.index import Finished
+from ospreyvale.devices.keys import FROM_DEVICE, FROM_EDGE, Keys, digest, proof, proves, session_key
+from ospreyvale.devices.limits import Bucket, Limits, Sketch
+from ospreyvale.devices.sessions import Address, Path, Session, Sessions
+from ospreyvale.devices.window import Window
+from ospreyvale.protocol.device import ID_BYTES, PROOF, Datagram, Field, Kind, Op, cid_of, decode, encode
+from ospreyvale.protocol.errors import ProtocolError
+from ospreyvale.routing.state import Clock
+
+NAME = "counter"
+COOKIE_MS = 30_000.0  # a cookie holds for one to two of these
+NO_CID = bytes(ID_BYTES)
+Random = Callable[[int], bytes]
+
+
+class Strangers:
+    """What is said to those who cannot prove who they are, on every wire: a challenge, within limits."""
+
+    def __init__(self, now: float, limits: Limits, random: Random, counters: Counter[str]) -> None:
+        self.limits, self.counters = limits, counters
+        self.secret = random(32)
+        self.sketch = Sketch(random(8))
+        self.whole, self.sessions = Bucket(now, limits.challenges), Bucket(now, limits.sessions)
+
+    def cookie(self, now: float, address: Address, age: int = 0) -> bytes:
+        """What shows that a device hears at an address, in this half minute or one before."""
+        return digest(self.secret, f"{address[0]} {address[1]} {int(now / COOKIE_MS) - age}".encode())[:ID_BYTES]
+
+    def knows(self, now: float, address: Address, cookie: bytes) -> bool:
+        return any(cookie == self.cookie(now, address, age) for age in (0, 1))
+
+    def may_hear(self, now: float, address: Address) -> bool:
+        """Whether a challenge may go to the address."""
+        if self.sketch.add(now, address[0].encode()) > self.limits.challenges_address:
+            self.counters["device_address_limited"] += 1
+            return False
+        if not self.whole.take(now, self.limits.challenges):
+            self.counters["device_challenges_limited"] += 1
+            return False
+        self.counters["device_challenges"] += 1
+        return True
+
+    def may_begin(self, now: float) -> bool:
+        """Whether another session may begin."""
+        if self.sessions.take(now, self.limits.sessions):
+            return True
+        self.counters["device_sessions_limited"] += 1
+        return False
+
+
+class CounterWire:
+    """Takes datagrams and says what the desk wants said."""
+
+    def __init__(self, clock: Clock, desk: Desk, sessions: Sessions, keys: Keys, classes: tuple[str, ...],
+                 patience_ms: tuple[float, ...], strangers: Strangers, random: Random, counters: Counter[str],
+                 send: Callable[[Address, bytes], None]) -> None:
+        self.clock, self.desk, self.sessions, self.keys = clock, desk, sessions, keys
+        self.classes = {name: place for place, name in enumerate(classes)}
+        self.patience_ms, self.strangers, self.random = patience_ms, strangers, random
+        self.counters, self.send = counters, send
+        desk.wires[NAME] = self
+
+    # ---- what comes in ----
+
+    def hear(self, address: Address, data: bytes) -> None:
+        """One datagram.  What makes no sense is dropped and counted, whatever it is."""
+        session = self.sessions.by_cid.get(cid_of(data)) if len(data) >= PROOF else None
+        try:
+            datagram = decode(data)
+        except ProtocolError:
+            self.counters["device_malformed"] += 1
+            return
+        if datagram.kind is Kind.HELLO:
+            self._hello(address, datagram, len(data))
+        elif session is None:
+            if datagram.kind in (Kind.CON, Kind.ACK, Kind.PATH_BACK):
+                self.counters["device_sessions_unknown"] += 1
+                self._challenge(address, len(data))
+        elif not proves(session.key, FROM_DEVICE, datagram.covered, datagram.proof):
+            self.counters["device_unproved"] += 1
+        elif not session.window.take(datagram.number):
+            self.counters["device_repeated"] += 1
+        else:
+            self._take(session, address, datagram, len(data))
+
+    def _hello(self, address: Address, hello: Datagram, size: int) -> None:
+        now, device = self.clock.now, hello.get(Field.DEVICE)
+        if hello.get(Field.EPOCH) != self.desk.epoch or not self.strangers.knows(now, address, hello.get(Field.COOKIE)):
+            self._challenge(address, size)
+            return
+        key = self.keys.find(device, hello.get(Field.KEY))
+        if key is None or not proves(key, FROM_DEVICE, hello.covered, hello.proof):
+            self.counters["device_unproved"] += 1
+            return
+        known = self.sessions.by_device.get(device)
+        if known is not None and hello.get(Field.COUNT) <= known.hello:
+            self.counters["device_repeated"] += 1
+            return
+        if known is None and not self.strangers.may_begin(now):
+            return
+        session = self.sessions.begin(device, now)
+        if session is None:
+            self.counters["device_sessions_full"] += 1
+            return
+        session.hello, session.key_id = hello.get(Field.COUNT), hello.get(Field.KEY)
+        self.sessions.bind(session, self.random(ID_BYTES))
+        session.key = session_key(key, self.desk.epoch, session.cid)
+        session.window, session.number = Window(), 0
+        for item in session.outbox.values():
+            item.numbers.clear()  # they were of the session before
+        path = session.path(NAME, address)
+        if path is None:
+            path = Path(NAME, address, now, proved=True)
+            session.add(path)
+        path.proved = True
+        path.heard(now, size)
+        self.sessions.heard(session, now)
+        self.counters["device_attached"] += 1
+        body = encode(Kind.WELCOME, session.cid, 0, {
+            Field.EPOCH: self.desk.epoch, Field.CID: session.cid, Field.IDLE: round(self.sessions.idle_ms)})
+        self.send(address, body + proof(key, FROM_EDGE, body))
+        self.desk.arrived(session)
+
+    def _challenge(self, address: Address, size: int) -> None:
+        now = self.clock.now
+        body = encode(Kind.CHALLENGE, NO_CID, 0, {Field.EPOCH: self.desk.epoch,
+                                                  Field.COOKIE: self.strangers.cookie(now, address)})
+        if len(body) + PROOF > size:
+            self.counters["device_challenges_too_long"] += 1
+        elif self.strangers.may_hear(now, address):
+            self.send(address, body + bytes(PROOF))
+
+    def _take(self, session: Session, address: Address, datagram: Datagram, size: int) -> None:
+        """What a known device has proved."""
+        now = self.clock.now
+        path = session.path(NAME, address)
+        if path is None:
+            path = Path(NAME, address, now, proved=False)
+            session.add(path)
+            self.counters["device_paths_new"] += 1
+        path.heard(now, size)
+        self.sessions.heard(session, now)
+        if datagram.kind is Kind.PATH_BACK:
+            if path.probe and datagram.get(Field.PROBE) == path.probe:
+                path.proved, path.probe = True, b""
+                self.counters["device_paths_proved"] += 1
+                self.desk.arrived(session)
+        elif datagram.kind is Kind.ACK:
+            self.desk.acknowledged(session, datagram.get(Field.NUMBER), path)
+        elif datagram.kind is Kind.CON:
+            self._operate(session, path, datagram)
+        if not path.proved and not path.probe:
+            path.probe = self.random(ID_BYTES)
+        if not path.proved:
+            self._say(session, path, Kind.PATH, {Field.PROBE: path.probe})
+        session.trim(now)
+
+    def _operate(self, session: Session, path: Path, datagram: Datagram) -> None:
+        """One operation; it is acknowledged whatever it comes to, and with its answer where there is one."""
+        request, answer = datagram.get(Field.REQUEST), None
+        match datagram.op:
+            case Op.CALL:
+                ask = self._ask(datagram)
+                answer = Finished(b"", 3) if ask is None else self.desk.request(session, path, ask)
+                if ask is None:
+                    self.counters["device_calls_malformed"] += 1
+            case Op.CANCEL:
+                answer = self.desk.cancel(session, request)
+            case Op.RELEASE:
+                self.desk.hang_up(session, request, datagram.get(Field.FIRST_EPOCH) or b"")
+            case Op.ANSWER | Op.AWAY:
+                self.counters["device_malformed"] += 1
+                return
+        body: dict[Field, Any] = {Field.NUMBER: datagram.number}
+        if answer is not None:
+            body |= _answer(request, answer)
+        self._say(session, path, Kind.ACK, body)
+
+    def _ask(self, datagram: Datagram) -> Ask | None:
+        """The request in a CALL; None where a field is out of bounds."""
+        name, patience, age = datagram.get(Field.CLASS), datagram.get(Field.PATIENCE), datagram.get(Field.AGE)
+        place = self.classes.get(name)
+        if place is None or not 0 < patience <= self.patience_ms[place] or age > patience:
+            return None
+        called = datagram.get(Field.CALLED)
+        try:
+            number = int(called, 16)
+        except ValueError:
+            return None
+        if not 0 <= number < 1 << 64:
+            return None
+        width = datagram.get(Field.WIDTH)
+        return Ask(datagram.get(Field.REQUEST), place, name, datagram.get(Field.EXCHANGE), number, called,
+                   float(patience), float(age), 1 if width is None else width, datagram.get(Field.DESCRIPTION) or b"",
+                   datagram.get(Field.FIRST_EPOCH) or b"")
+
+    # ---- what goes out ----
+
+    def _say(self, session: Session, path: Path, kind: Kind, body: dict[Field, Any]) -> None:
+        data, _ = self._made(session, kind, body)
+        if path.room(len(data)):
+            path.went += len(data)
+            self.send(path.address, data)
+        else:
+            self.counters["device_amplification_kept"] += 1
+
+    def _made(self, session: Session, kind: Kind, body: dict[Field, Any]) -> tuple[bytes, int]:
+        session.number += 1
+        covered = encode(kind, session.cid, session.number, body)
+        return covered + proof(session.key, FROM_EDGE, covered), session.number
+
+    def say(self, session: Session, path: Path, item: Item) -> tuple[bytes, int]:
+        body: dict[Field, Any] = {Field.OP: Op.RELEASE, Field.REQUEST: item.request, Field.CAUSE: item.cause}
+        return self._made(session, Kind.CON, body if item.answer is None else _answer(item.request, item.answer))
+
+    def transmit(self, path: Path, data: bytes) -> None:
+        self.send(path.address, data)
+
+    def away(self, session: Session, after_ms: float, elsewhere: str) -> None:
+        """Tell a device to go, on every path; it is not said again, as its requests are refused later."""
+        for path in session.paths:
+            if path.wire == NAME:
+                self._say(session, path, Kind.CON, {Field.OP: Op.AWAY, Field.AWAY: round(after_ms),
+                                                    Field.ELSEWHERE: elsewhere or None})
+
+
+def _answer(request: bytes, answer: Finished) -> dict[Field, Any]:
+    return {Field.OP: Op.ANSWER, Field.REQUEST: request, Field.END: answer.end, Field.AWAY: answer.away_ms or None,
+            Field.DESCRIPTION: answer.description or None}
--- a/ospreyvale/transport/network.py
+++ b/ospreyvale/transport/network.py
@@ -17,6 +17,7 @@
 CLOSE_MS = 2_000.0  # a peer that reads no more has so long for what is queued when its connection is closed
 FULL_PAUSE_MS = 20.0  # out of descriptors: accept again after this
 BACKLOG = 1024
+DATAGRAMS_A_TURN, DATAGRAM_MOST = 64, 4_096
 _NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -213,6 +214,40 @@
         raise
 
 
+class Datagrams:
+    """One UDP socket: `hear` gets each datagram, `DATAGRAMS_A_TURN` at most in one turn, cut off at `DATAGRAM_MOST`."""
+
+    def __init__(self, loop: Loop, address: Address, hear: Callable[[Address, bytes], None]) -> None:
+        self.loop, self.hear, self.unsent = loop, hear, 0
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.sock.bind(address)
+        self.address: Address = self.sock.getsockname()
+        loop.watch(self.sock.fileno(), READ, self._readable)
+
+    def send(self, address: Address, data: bytes) -> None:
+        """Send it or lose it: whoever says something on a datagram says it again."""
+        try:
+            self.sock.sendto(data, address)
+        except OSError:  # the queue is full, or an earlier one was refused there
+            self.unsent += 1
+
+    def close(self) -> None:
+        if self.sock.fileno() >= 0:
+            self.loop.unwatch(self.sock.fileno())
+            self.sock.close()
+
+    def _readable(self, _: int) -> None:
+        for _ in range(DATAGRAMS_A_TURN):
+            try:
+                data, address = self.sock.recvfrom(DATAGRAM_MOST)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError:  # an earlier datagram was refused there
+                continue
+            self.hear(address, data)
+
+
 class Network:
     """Listens and dials on one loop."""
 
@@ -226,6 +261,10 @@
             else socket.socket(fileno=fd)
         return Listener(self.loop, sock, serve, make_room, urgent)
 
+    def datagrams(self, address: Address, hear: Callable[[Address, bytes], None]) -> Datagrams:
+        """A datagram socket at the address."""
+        return Datagrams(self.loop, address, hear)
+
     def resume(self, fd: int, serve: Callable[[Link], Coroutine]) -> None:
         """Start `serve` on a connection that another process had."""
         self.loop.start(_served(serve, Connection(self.loop, socket.socket(fileno=fd))))
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -90,6 +90,7 @@
         self.clock, self.behave, self.settings = VirtualClock(), behave, settings
         self.core = Core(self.clock, settings, 250.0, lambda event, **fields: None, **more)
         self.seen: dict[int, Seen] = {}
+        self.stands: dict[int, int] = {}  # at which exchange
         self.recorded: list[tuple[float, i.Event, list[i.Action]]] = []
         handle = self.core.control.handle
 
@@ -101,6 +102,7 @@
         self.core.control.handle = recording  # type: ignore[method-assign]
         self.lines = tuple(i.Exchange(n, address(n), i.Condition.READY, 0.0, n % 3) for n in range(exchanges))
         self.core.exchanges(self, True, self.lines)
+        self.whole = free  # circuits of each group
         self.free = {n: free for n in range(1, exchanges)}
         for number in self.free:
             self._group(number)
@@ -133,8 +135,11 @@
     # ---- exchanges ----
 
     def set_up(self, order: SetUpOrder) -> None:
-        seen, call, number = self.seen[order.offer.call], order.offer.call, order.exchange[3]
-        now, so_far = self.clock.now, len(seen.sent)
+        call, number, now = order.offer.call, order.exchange[3], self.clock.now
+        if call not in self.seen:  # another port of the core's offered it
+            self.seen[call] = Seen(now, order.offer.patience_ms, order.offer.call_class)
+        seen = self.seen[call]
+        so_far = len(seen.sent)
         if seen.out:
             seen.faults.append("two attempts out at once")
         if now < seen.doubt + self.settings.release_ms:
@@ -153,6 +158,7 @@
             return  # given up meanwhile
         seen.out = False
         if what == "answer":
+            self.stands[call] = number
             self.core.stood(call, address(number), b"d")
             self.clock.at(self.clock.now + HOLD_MS, lambda: self._over(call, number))
             return
@@ -162,6 +168,8 @@
         self.core.ended(call, address(number), ENDS[what])
 
     def _over(self, call: int, number: int) -> None:
+        if self.stands.pop(call, None) is None:
+            return  # released meanwhile
         self._back(number)
         self.core.ended(call, address(number), End(i.Outcome.OK))
 
@@ -169,7 +177,11 @@
         self.seen[call].out, self.seen[call].doubt = False, self.clock.now
         self._back(exchange[3])
 
-    def release(self, call: int, *rest: Any) -> None: ...
+    def release(self, call: int, *rest: Any) -> None:
+        """Towards a caller, or an exchange, where the call's circuit is free again."""
+        number = self.stands.pop(call, None) if rest and isinstance(rest[0], bytes) else None
+        if number is not None:
+            self._back(number)
 
     def probe(self, exchange: bytes) -> None:
         free = self.free.get(exchange[3], 20.0)
@@ -183,6 +195,15 @@
     def _group(self, number: int) -> None:
         self.core.group(address(number), (self.free[number], 20.0))
 
+    def adopt(self, before: Rig) -> None:
+        """The exchanges go on as they are, towards another controller on the same clock."""
+        self.clock, self.seen, self.stands = before.clock, before.seen, before.stands
+        self.whole, self.free, self.lines = before.whole, before.free, before.lines
+        self.core = Core(self.clock, self.settings, 250.0, lambda event, **fields: None)
+        self.core.exchanges(self, True, self.lines)
+        for number in self.free:
+            self._group(number)
+
     def drain(self, number: int) -> None:
         self.lines = tuple(replace(line, condition=i.Condition.DRAINING) if line.number == number else line
                            for line in self.lines)
