SIP over datagrams for devices: transactions, flows and proofs, one call with the counter protocol

Need: a counter phone may use SIP over UDP beside the counter protocol, and gets one answer whichever brings it. Change: RFC 3261's four transactions with timers A to K (and RFC 6026's Accepted), RFC 3581's rport, flows with keep-alive, a proof over all that matters in a request; the answer goes to what waits on another wire too. Result: both transports of one device agreed on every answer in 200 requests over links that lose 25% and stall; in the tests' 1,200 calls over SIP alone each had one answer or was given up, and no transaction was left.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	.venv-dev/bin/python -m pytest -q -p no:cacheprovider
 
 lint: .venv-dev
-	.venv-dev/bin/ruff check ospreyvale tests example benchmarks
+	.venv-dev/bin/ruff check ospreyvale tests example benchmarks lab
 	.venv-dev/bin/mypy
 
 run: build
--- a/lab/world.py
+++ b/lab/world.py
@@ -12,11 +12,13 @@
 
 from lab.impairment import Impairment, Link
 from lab.phone import Phone, Placed
+from lab.sip_phone import SipPhone
 from ospreyvale.devices.counter import CounterWire, Strangers
 from ospreyvale.devices.desk import Desk
 from ospreyvale.devices.keys import Keys
 from ospreyvale.devices.limits import Limits
 from ospreyvale.devices.sessions import Address, Sessions
+from ospreyvale.devices.sip import UDP, SipWire
 from ospreyvale.routing import interface as i
 from ospreyvale.routing.state import SetUpOrder
 from tests.rig import NAMES, SETTINGS, Rig, VirtualClock
@@ -37,6 +39,9 @@
         self.counter = CounterWire(clock, self.desk, self.sessions, keys, NAMES,
                                    tuple(kind.deadline_ms for kind in SETTINGS.classes), self.strangers,
                                    source.randbytes, counters, send)
+        self.sip = SipWire(UDP, clock, self.desk, self.sessions, keys, NAMES,
+                           tuple(kind.deadline_ms for kind in SETTINGS.classes), self.strangers, source.randbytes,
+                           counters, send)
 
 
 class World:
@@ -52,11 +57,16 @@
         self.counters: Counter[str] = Counter()
         self.keys = Keys({f"phone-{n}": {1: self.source.randbytes(32)} for n in range(phones)})
         self.owner: dict[Address, int] = {}
+        self.sip_owner: dict[Address, int] = {}
         self.taken: dict[Address, int] = {}  # addresses that a link gave to another phone
         self.down: list[tuple[float, Address, int]] = []  # what the edge sent: when, where, how much
         self.edge_up = True
         self.edge = self._edge()
         self.links = [Link((models or {}).get(n, model), 1_000 * seed + n, self.clock.now) for n in range(phones)]
+        self.sip_links = [Link((models or {}).get(n, model), 2_000 * seed + n, self.clock.now) for n in range(phones)]
+        self.sip_phones = [SipPhone(self.clock, f"phone-{n}", self.keys.by_device[f"phone-{n}"][1], 78 * seed + n,
+                                    lambda data, n=n: self.up_sip(n, data))  # type: ignore[misc]
+                           for n in range(phones)]
         self.phones = [Phone(self.clock, f"phone-{n}", self.keys.by_device[f"phone-{n}"][1], 77 * seed + n,
                              lambda data, n=n: self.up(n, data), insist)  # type: ignore[misc]
                        for n in range(phones)]
@@ -76,6 +86,12 @@
         for at in self.links[phone].fate("up", self.clock.now):
             self.clock.at(at, lambda: self._arrives(address, data))
 
+    def up_sip(self, phone: int, data: bytes) -> None:
+        address = f"127.8.{self.sip_links[phone].moved(self.clock.now)}.{phone % 250}", 15_000 + phone
+        self.sip_owner[address] = phone
+        for at in self.sip_links[phone].fate("up", self.clock.now):
+            self.clock.at(at, lambda: self.edge.sip.hear(address, data) if self.edge_up else None)
+
     def _arrives(self, address: Address, data: bytes) -> None:
         if self.edge_up:
             self.edge.counter.hear(address, data)
@@ -83,6 +99,12 @@
     def deliver(self, address: Address, data: bytes) -> None:
         """Down to whoever is at the address now: one that has moved on hears nothing there."""
         self.down.append((self.clock.now, address, len(data)))
+        if address in self.sip_owner:
+            one = self.sip_owner[address]
+            here = f"127.8.{self.sip_links[one].moved(self.clock.now)}.{one % 250}"
+            for at in self.sip_links[one].fate("down", self.clock.now) if here == address[0] else []:
+                self.clock.at(at, lambda: self.sip_phones[one].hear(data))
+            return
         phone = self.taken.get(address, self.owner.get(address))
         if phone is None:
             return
@@ -100,6 +122,11 @@
             phone.attach()
         self.run(3_000.0)
 
+    def attach_sip(self) -> None:
+        for phone in self.sip_phones:
+            phone.attach()
+        self.run(3_000.0)
+
     def crash(self, away_ms: float = 0.0) -> None:
         """The controller dies and comes back with nothing; its exchanges still hold what stands."""
         for session in list(self.edge.sessions.by_device.values()):
@@ -109,6 +136,9 @@
         for request in self.edge.desk.index.live.values():
             if request.timer is not None:
                 request.timer.cancel()
+        machines = [invite.machine for invite in self.edge.sip.invites.values()]
+        for machine in [*machines, *self.edge.sip.others.values()]:
+            machine.stop()
         for state in list(self.rig.core.context.table.calls.values()):
             for timer in (state.timer, state.out.timer if state.out is not None else None):
                 if timer is not None:
@@ -141,13 +171,13 @@
     def faults(self) -> list[str]:
         """Requests with two answers or none, answers after their time, circuits that nobody has."""
         found = []
-        for phone in self.phones:
-            for placed in phone.placed.values():
-                said = placed.request.hex()
-                if len(placed.answers) + placed.gave_up != 1:
-                    found.append(f"{said}: {[how for _, how in placed.answers]}, gave up: {placed.gave_up}")
-                if placed.answers and placed.answers[0][0] > placed.asked_at + placed.patience_ms + GRACE_MS:
-                    found.append(f"{said}: answered after {placed.answers[0][0] - placed.asked_at:.0f} ms")
+        for placed in [one for phone in self.phones for one in phone.placed.values()] + [
+                one for phone in self.sip_phones for one in phone.placed.values()]:
+            said = placed.request.hex()
+            if len(placed.answers) + placed.gave_up != 1:
+                found.append(f"{said}: {[how for _, how in placed.answers]}, gave up: {placed.gave_up}")
+            if placed.answers and placed.answers[0][0] > placed.asked_at + placed.patience_ms + GRACE_MS:
+                found.append(f"{said}: answered after {placed.answers[0][0] - placed.asked_at:.0f} ms")
         taken = {number: free for number, free in self.rig.free.items() if free != self.rig.whole}
         if taken:
             found.append(f"circuits are taken: {taken}, stand: {self.rig.stands}")
--- a/ospreyvale/devices/counter.py
+++ b/ospreyvale/devices/counter.py
@@ -222,6 +222,13 @@
         covered = encode(kind, session.cid, session.number, body)
         return covered + proof(session.key, FROM_EDGE, covered), session.number
 
+    def able(self, session: Session, path: Path, item: Item) -> bool:
+        """Whether there is a session to prove it with."""
+        return bool(session.cid)
+
+    def over(self, session: Session, request: bytes, answer: Finished) -> None:
+        """Nothing waits here for an answer."""
+
     def say(self, session: Session, path: Path, item: Item) -> tuple[bytes, int]:
         body: dict[Field, Any] = {Field.OP: Op.RELEASE, Field.REQUEST: item.request, Field.CAUSE: item.cause}
         return self._made(session, Kind.CON, body if item.answer is None else _answer(item.request, item.answer))
--- a/ospreyvale/devices/desk.py
+++ b/ospreyvale/devices/desk.py
@@ -86,10 +86,12 @@
 
 
 class Wire(Protocol):
-    """How one kind of path is spoken to: `say` gives the bytes of an answer or a release, and their number."""
+    """How one kind of path is spoken to: whether an answer or a release can be said there, its bytes and number."""
 
+    def able(self, session: Session, path: Path, item: Item) -> bool: ...
     def say(self, session: Session, path: Path, item: Item) -> tuple[bytes, int]: ...
     def transmit(self, path: Path, data: bytes) -> None: ...
+    def over(self, session: Session, request: bytes, answer: Finished) -> None: ...
 
 
 class Desk:
@@ -146,7 +148,9 @@
         self.counters["device_cancels"] += 1
         if known.offered:
             self.core.give_up(known.key)
-        self._over(known, Finished(known.content, GIVEN_UP))
+        given_up = Finished(known.content, GIVEN_UP)
+        self._over(known, given_up)
+        self._everywhere(session, request, given_up)
         return None
 
     def hang_up(self, session: Session, request: bytes, first_epoch: bytes = b"") -> bool:
@@ -331,7 +335,8 @@
         if now >= item.until:
             self._expire(item)
             return
-        best = session.best(now, 0)
+        able = [path for path in session.paths if self.wires[path.wire].able(session, path, item)]
+        best = session.best(now, able)
         if best is None:
             item.timer = self.clock.at(min(now + 200.0, item.until), lambda: self._send(item))
             return
@@ -339,7 +344,7 @@
                   for other in session.outbox.values())
         if out >= best.pace:  # `_pump` comes back to it when something that is out was heard or given up
             return
-        paths = [best] if not best.doubted(now) else [path for path in session.paths if path.room(0)]
+        paths = [best] if not best.doubted(now) else able
         wait = math.inf
         for path in paths:
             data, number = self.wires[path.wire].say(session, path, item)
@@ -366,9 +371,16 @@
 
     def _heard(self, item: Item, name: tuple[int, bool]) -> None:
         self._drop(item.session, name)
+        if item.answer is not None:
+            self._everywhere(item.session, item.request, item.answer)
         self.sessions.settle(item.session)
         self._pump(item.session)
 
+    def _everywhere(self, session: Session, request: bytes, answer: Finished) -> None:
+        """The request is over: what waits for its answer on another wire gets it too."""
+        for wire in self.wires.values():
+            wire.over(session, request, answer)
+
     def _drop(self, session: Session, name: tuple[int, bool]) -> None:
         item = session.outbox.pop(name, None)
         if item is not None and item.timer is not None:
@@ -386,8 +398,11 @@
         if item.answer is not None and item.answer.end == STANDS and request is not None:
             self.core.hang_up(item.key)
             self._over(request, Finished(request.content, GIVEN_UP))
+            self._everywhere(item.session, item.request, Finished(request.content, GIVEN_UP))
             self._put(Item(item.session, item.key, item.request, None, 31,
                            self.clock.now + RELEASE_KEPT_MS, item.worth))
+        elif item.answer is not None:
+            self._everywhere(item.session, item.request, item.answer)
         self.sessions.settle(item.session)
         self._pump(item.session)
 
--- a/ospreyvale/devices/sessions.py
+++ b/ospreyvale/devices/sessions.py
@@ -83,9 +83,9 @@
         if len(self.paths) > PATHS_MOST:
             self.paths.remove(min(self.paths[:-1], key=lambda known: (known.proved, known.heard_at)))
 
-    def best(self, now: float, size: int, wires: frozenset[str] | None = None) -> Path | None:
-        """Where to say something: what is not in doubt, then the quickest, then what was heard last."""
-        able = [path for path in self.paths if path.room(size) and (wires is None or path.wire in wires)]
+    @staticmethod
+    def best(now: float, able: list[Path]) -> Path | None:
+        """Where to say something: what is not in doubt, then what is proved, then the quickest, then heard last."""
         if not able:
             return None
         return min(able, key=lambda path: (path.doubted(now), not path.proved, path.rtt.timeout(), -path.heard_at))
--- /dev/null
+++ b/ospreyvale/devices/sip.py
@@ -0,0 +1,387 @@
+"""SIP for devices, over datagrams and streams: flows, proofs, transactions; what is proved goes to the desk.
+
+A device registers a flow (RFC 5626: its instance and a reg-id) and keeps it alive; each request carries a proof over
+all that matters in it, with the epoch of the edge and a count that is never used twice.  Responses go where the request
+came from (RFC 3581).  A request's Call-ID is its request id, the same on every transport.
+"""
+
+from __future__ import annotations
+
+import re
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ospreyvale.devices.counter import Strangers
+from ospreyvale.devices.desk import CONFLICT, FAILED, GIVEN_UP, REFUSED, STANDS, Ask, Desk, Item
+from ospreyvale.devices.index import Finished
+from ospreyvale.devices.keys import FROM_DEVICE, FROM_EDGE, Keys, proof, proves
+from ospreyvale.devices.sessions import Address, Path, Session, Sessions
+from ospreyvale.protocol import sip
+from ospreyvale.protocol.device import DESCRIPTION_MOST
+from ospreyvale.protocol.errors import ProtocolError
+from ospreyvale.protocol.sip_datagram import MAGIC, message_of, received, tagged, via_of
+from ospreyvale.protocol.transactions import ClientOther, ServerInvite, ServerOther, State
+from ospreyvale.routing.state import Clock
+
+UDP, TCP = "sip-udp", "sip-tcp"
+KEEP_ALIVE, PONG = b"\r\n\r\n", b"\r\n"  # RFC 5626, 4.4.1; the same on datagrams, as no STUN is spoken here
+TRANSACTIONS_MOST = 20_000  # server transactions; past that a request is dropped, and comes again
+FLOW_S = 120
+COVERED = ("call-id", "cseq", "priority-class", "expires-ms", "p-age-ms", "p-trunk-info", "p-first-epoch", "contact",
+           "reason")
+STATUS = {STANDS: 200, REFUSED: 503, FAILED: 504, GIVEN_UP: 487, CONFLICT: 409}
+_PROOF = re.compile(r"([A-Za-z0-9._:@-]{1,64});key=([0-9]{1,3});epoch=([0-9a-f]{16});cookie=([0-9a-f]{16});"
+                    r"count=([0-9]{1,10});proof=([0-9a-f]{32})\Z")
+Send = Callable[[Address, bytes], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Proof:
+    """What `P-Device` says."""
+
+    device: str
+    key_id: int
+    epoch: bytes
+    cookie: bytes
+    count: int
+    proof: bytes
+
+    def header(self) -> str:
+        return (f"{self.device};key={self.key_id};epoch={self.epoch.hex()};cookie={self.cookie.hex()};"
+                f"count={self.count};proof={self.proof.hex()}")
+
+
+def proof_in(message: sip.Message) -> Proof | None:
+    """The proof of a request; None where it has none that can be read."""
+    found = _PROOF.match(message.header("p-device"))
+    if found is None:
+        return None
+    device, key_id, epoch, cookie, count, said = found.groups()
+    return Proof(device, int(key_id), bytes.fromhex(epoch), bytes.fromhex(cookie), int(count), bytes.fromhex(said))
+
+
+def covered(message: sip.Message, said: Proof) -> bytes:
+    """What a request's proof is over."""
+    head = [message.method, message.uri, *(message.header(name) for name in COVERED), said.device, str(said.key_id),
+            said.epoch.hex(), said.cookie.hex(), str(said.count)]
+    return "\n".join(head).encode() + b"\n\n" + message.body
+
+
+def edge_covered(first: str, message: sip.Message) -> bytes:
+    """What the edge's own proof is over."""
+    head = [first, *(message.header(name) for name in ("call-id", "cseq", "p-back-off", "reason"))]
+    return "\n".join(head).encode() + b"\n\n" + message.body
+
+
+@dataclass(slots=True)
+class _Invite:
+    """An INVITE that came on a path: what its answer repeats."""
+
+    message: sip.Message
+    machine: ServerInvite
+    path: Path
+    session: Session
+
+
+@dataclass
+class SipWire:
+    """Takes SIP of devices and says what the desk wants said, on datagrams (`UDP`) or streams (`TCP`)."""
+
+    name: str
+    clock: Clock
+    desk: Desk
+    sessions: Sessions
+    keys: Keys
+    classes: tuple[str, ...]
+    patience_ms: tuple[float, ...]
+    strangers: Strangers
+    random: Callable[[int], bytes]
+    counters: Counter[str]
+    send: Send
+    invites: dict[tuple[str, str], _Invite] = field(default_factory=dict)  # by branch and sent-by
+    others: dict[tuple[str, str, str], ServerOther] = field(default_factory=dict)
+    byes: dict[str, tuple[ClientOther, Session, bytes]] = field(default_factory=dict)  # by branch
+    bye_of: dict[tuple[str, bytes], tuple[str, bytes]] = field(default_factory=dict)  # branch and bytes, by request
+    flows: dict[Address, Session] = field(default_factory=dict)  # at most as many as sessions
+    by_request: dict[tuple[str, bytes], dict[Address, _Invite]] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.desk.wires[self.name] = self
+        self.places = {name: place for place, name in enumerate(self.classes)}
+
+    @property
+    def reliable(self) -> bool:
+        return self.name == TCP
+
+    # ---- what comes in ----
+
+    def hear(self, address: Address, data: bytes) -> None:
+        """One datagram, or one message of a stream."""
+        if data in (KEEP_ALIVE, PONG):
+            if data == KEEP_ALIVE and self._known(address):
+                self.send(address, PONG)
+            return
+        try:
+            self.take(address, message_of(data), len(data))
+        except ProtocolError:
+            self.counters["device_malformed"] += 1
+
+    def take(self, address: Address, message: sip.Message, size: int) -> None:
+        """One message; ProtocolError for what makes no sense."""
+        via = via_of(message)
+        if message.status:
+            self._response(message, via.branch)
+            return
+        method = "INVITE" if message.method == "ACK" else message.method
+        invite = self.invites.get((via.branch, via.sent_by)) if method == "INVITE" else None
+        other = self.others.get((via.branch, via.sent_by, method))
+        if message.method == "ACK":
+            self._ack(message, address, size)
+        elif invite is not None:
+            invite.machine.again()
+        elif other is not None:
+            other.again()
+        elif len(self.invites) + len(self.others) >= TRANSACTIONS_MOST:
+            self.counters["device_transactions_full"] += 1
+        else:
+            self._request(address, received(message, *address), (via.branch, via.sent_by), size)
+
+    def _request(self, address: Address, message: sip.Message, key: tuple[str, str], size: int) -> None:
+        """A new transaction: of a known device, or a challenge."""
+        now, said = self.clock.now, proof_in(message)
+        if said is None or said.epoch != self.desk.epoch or not self.strangers.knows(now, address, said.cookie):
+            self._challenge(address, message, size)
+            return
+        if not self._proves(message, said):
+            self.counters["device_unproved"] += 1
+            return
+        known = self.sessions.by_device.get(said.device)
+        if known is None and not self.strangers.may_begin(now):
+            return
+        session = self.sessions.begin(said.device, now)
+        if session is None:
+            self.counters["device_sessions_full"] += 1
+            return
+        if not session.sip_window.take(said.count):
+            self.counters["device_repeated"] += 1
+            return
+        session.key_id = said.key_id
+        path = session.path(self.name, address)
+        if path is None:
+            path = Path(self.name, address, now, proved=True)  # the cookie shows that it is heard there
+            session.add(path)
+            self.counters["device_paths_new"] += 1
+            self.flows[address] = session
+            if len(self.flows) > self.sessions.most:
+                del self.flows[next(iter(self.flows))]
+        path.heard(now, size)
+        self.sessions.heard(session, now)
+        match message.method:
+            case "INVITE":
+                self._invite(session, path, message, key)
+            case "CANCEL":
+                self._cancel(session, path, message, key)
+            case "BYE":
+                heard = self.desk.hang_up(session, self._id(message), self._epoch(message))
+                self._answer_other(session, path, message, key, 200 if heard else 481)
+            case "REGISTER":
+                self._answer_other(session, path, message, key, 200)
+                self.desk.arrived(session)
+            case "OPTIONS":
+                self._answer_other(session, path, message, key, 503 if self.desk.away is not None else 200)
+            case _:
+                self._answer_other(session, path, message, key, 501)
+
+    def _challenge(self, address: Address, message: sip.Message, size: int) -> None:
+        """401 with the epoch and a cookie, for whoever hears there: nothing is kept for it."""
+        cookie = self.strangers.cookie(self.clock.now, address)
+        self.counters["device_sessions_unknown"] += message.method != "REGISTER"
+        headers = [(name, value) for name in sip.COPIED for value in message.headers.get(name, [])]
+        data = sip.encode("SIP/2.0 401 Unauthorized", [
+            *headers, ("p-edge", f"epoch={self.desk.epoch.hex()};cookie={cookie.hex()}")])
+        if len(data) > 3 * size:
+            self.counters["device_challenges_too_long"] += 1
+        elif self.strangers.may_hear(self.clock.now, address):
+            self.send(address, data)
+
+    def _invite(self, session: Session, path: Path, message: sip.Message, key: tuple[str, str]) -> None:
+        request, name = self._id(message), (session.device, self._id(message))
+        invite = _Invite(tagged(message, self.random(4).hex()), ServerInvite(
+            self.clock, lambda data: self._transmit(path, data), lambda: self._forget(key, name, path.address),
+            lambda: None, self.reliable, repeats=False), path, session)
+        self.invites[key] = invite
+        self.by_request.setdefault(name, {})[path.address] = invite
+        invite.machine.respond(100, sip.response(message, 100))
+        ask = self._ask(request, message)
+        answer = Finished(b"", FAILED) if ask is None else self.desk.request(session, path, ask)
+        if ask is None:
+            self.counters["device_calls_malformed"] += 1
+        if answer is not None:
+            self._respond(invite, answer)
+
+    def _cancel(self, session: Session, path: Path, message: sip.Message, key: tuple[str, str]) -> None:
+        """RFC 3261, 9.2: 200 to the CANCEL, and 487 to an INVITE that had no final answer."""
+        request = self._id(message)
+        answer = self.desk.cancel(session, request)
+        self._answer_other(session, path, message, key, 200)
+        invite = self.invites.get(key)
+        if invite is not None:
+            self._respond(invite, answer or Finished(b"", GIVEN_UP))
+
+    def _ack(self, message: sip.Message, address: Address, size: int) -> None:
+        """An ACK, proved like a request: only the device may end that its answer is said again."""
+        said = proof_in(message)
+        invite = self._at(said.device, self._id(message), address) if said is not None else None
+        if said is None or invite is None or not self._proves(message, said) \
+                or not invite.session.sip_window.take(said.count):
+            self.counters["device_unproved"] += 1
+            return
+        invite.path.heard(self.clock.now, size)
+        if invite.machine.ack():
+            self.desk.acknowledged_request(invite.session, self._id(message), True)
+
+    def _response(self, message: sip.Message, branch: str) -> None:
+        found = self.byes.get(branch)
+        if found is not None and found[0].response(message.status) and message.status >= 200:
+            _, session, request = found
+            self.desk.acknowledged_request(session, request, False)
+
+    def _answer_other(self, session: Session, path: Path, message: sip.Message, key: tuple[str, str],
+                      status: int) -> None:
+        name = (*key, message.method)
+        machine = ServerOther(self.clock, lambda data: self._transmit(path, data), lambda: self._drop(name),
+                              self.reliable)
+        self.others[name] = machine
+        extra = [("contact", message.header("contact")), ("flow-timer", str(FLOW_S))] \
+            if message.method == "REGISTER" and status == 200 else []
+        machine.respond(status, self._proved(session, message, status, extra=extra))
+
+    # ---- what goes out ----
+
+    def able(self, session: Session, path: Path, item: Item) -> bool:
+        """Whether an answer can be said there: only where its INVITE came; a release anywhere."""
+        return item.answer is None or self._at(session.device, item.request, path.address) is not None
+
+    def say(self, session: Session, path: Path, item: Item) -> tuple[bytes, int]:
+        if item.answer is not None:
+            invite = self.by_request[(session.device, item.request)][path.address]
+            return self._final(invite, item.answer), 0
+        known = self.bye_of.get((session.device, item.request))
+        if known is not None:  # the same transaction, however often it is said
+            return known[1], 0
+        branch, text = MAGIC + self.random(8).hex(), item.request.hex()
+        message = sip.Message("BYE", f"sip:{text}@net", headers={
+            "via": [f"SIP/2.0/{'TCP' if self.reliable else 'UDP'} edge;branch={branch};rport"], "call-id": [text],
+            "cseq": ["1 BYE"], "reason": [f"Q.850;cause={item.cause}"]})
+        data = self._signed(session, f"BYE sip:{text}@net SIP/2.0", "BYE", message)
+        # The outbox says it again, in place of timer E; the transaction absorbs what answers it, until timer F.
+        self.byes[branch] = (ClientOther(self.clock, lambda _: None, lambda: self._bye_over(branch), data, lambda: None,
+                                         reliable=True), session, item.request)
+        self.bye_of[(session.device, item.request)] = branch, data
+        return data, 0
+
+    def over(self, session: Session, request: bytes, answer: Finished) -> None:
+        """What is left of the request here gets its answer too, and the transaction says that again."""
+        for invite in list(self.by_request.get((session.device, request), {}).values()):
+            if invite.machine.state is State.PROCEEDING:
+                self._respond(invite, answer)
+
+    def transmit(self, path: Path, data: bytes) -> None:
+        self.send(path.address, data)
+
+    def _respond(self, invite: _Invite, answer: Finished) -> None:
+        """A final answer that is known at once: the transaction says it again; the outbox those that come later."""
+        invite.machine.repeats = True
+        self._transmit(invite.path, self._final(invite, answer))
+
+    def _final(self, invite: _Invite, answer: Finished) -> bytes:
+        status = STATUS[answer.end]
+        data = self._proved(invite.session, invite.message, status, answer.description, answer.away_ms)
+        invite.machine.record(status, data)
+        return data
+
+    def _proved(self, session: Session, request: sip.Message, status: int, body: bytes = b"", away_ms: float = 0.0,
+                extra: list[tuple[str, str]] | None = None) -> bytes:
+        headers = {name: request.headers[name] for name in sip.COPIED if name in request.headers}
+        if away_ms > 0.0:
+            headers["p-back-off"] = [str(max(1, round(away_ms)))]
+        headers |= {name: [value] for name, value in extra or []}
+        message = sip.Message(status=status, headers=headers, body=body)
+        return self._signed(session, f"SIP/2.0 {status} {sip.PHRASES[status]}", str(status), message)
+
+    def _signed(self, session: Session, first: str, what: str, message: sip.Message) -> bytes:
+        """A message of the edge's, with its proof."""
+        key = self.keys.find(session.device, session.key_id) or b""
+        said = proof(key, FROM_EDGE, edge_covered(what, message)).hex()
+        headers = [(name, value) for name, values in message.headers.items() for value in values]
+        return sip.encode(first, [*headers, ("p-edge", f"proof={said}")], message.body)
+
+    def _transmit(self, path: Path, data: bytes) -> None:
+        path.went += len(data)
+        self.send(path.address, data)
+
+    # ---- within ----
+
+    def _known(self, address: Address) -> bool:
+        """Whether some device has a flow from there: strangers get no pong."""
+        session = self.flows.get(address)
+        path = session.path(self.name, address) if session is not None else None
+        if path is not None:
+            path.heard(self.clock.now, len(KEEP_ALIVE))
+        return path is not None
+
+    def _proves(self, message: sip.Message, said: Proof) -> bool:
+        key = self.keys.find(said.device, said.key_id)
+        return key is not None and said.epoch == self.desk.epoch and proves(
+            key, FROM_DEVICE, covered(message, said), said.proof)
+
+    @staticmethod
+    def _id(message: sip.Message) -> bytes:
+        return message.call.to_bytes(8, "big")
+
+    @staticmethod
+    def _epoch(message: sip.Message) -> bytes:
+        text = message.header("p-first-epoch")
+        try:
+            epoch = bytes.fromhex(text)
+        except ValueError:
+            epoch = b"?"
+        if len(epoch) not in (0, 8):
+            raise ProtocolError("P-First-Epoch is not 16 hex digits")
+        return epoch
+
+    def _ask(self, request: bytes, message: sip.Message) -> Ask | None:
+        """The request in an INVITE; None where a field is out of bounds."""
+        try:
+            name, facts, called = message.header("priority-class"), sip.facts(message), message.user
+            place = self.places.get(name)
+            patience = message.number("expires-ms")
+            age = message.number("p-age-ms") if "p-age-ms" in message.headers else 0
+            number, epoch = sip.number_called(called), self._epoch(message)
+        except ProtocolError:
+            return None
+        destination, width = facts.get("dest", -1), facts.get("width", 1)
+        if place is None or not 0 < patience <= self.patience_ms[place] or age > patience \
+                or not 0 <= destination <= 0xFFFF or not 1 <= width <= 255 or len(message.body) > DESCRIPTION_MOST:
+            return None
+        return Ask(request, place, name, destination, number, called, float(patience), float(age), width, message.body,
+                   epoch)
+
+    def _at(self, device: str, request: bytes, address: Address) -> _Invite | None:
+        return self.by_request.get((device, request), {}).get(address)
+
+    def _forget(self, key: tuple[str, str], name: tuple[str, bytes], address: Address) -> None:
+        invite, at = self.invites.pop(key, None), self.by_request.get(name, {})
+        if invite is not None and at.get(address) is invite:
+            del at[address]
+            if not at:
+                del self.by_request[name]
+
+    def _drop(self, name: tuple[str, str, str]) -> None:
+        self.others.pop(name, None)
+
+    def _bye_over(self, branch: str) -> None:
+        found = self.byes.pop(branch, None)
+        if found is not None:
+            self.bye_of.pop((found[1].device, found[2]), None)
--- a/ospreyvale/protocol/sip.py
+++ b/ospreyvale/protocol/sip.py
@@ -9,12 +9,16 @@
 from ospreyvale.protocol.errors import LARGEST, ProtocolError
 
 VERSION = "SIP/2.0"
-PHRASES = {100: "Trying", 200: "OK", 400: "Bad Request", 481: "Call/Transaction Does Not Exist",
-           482: "Loop Detected", 487: "Request Terminated", 500: "Server Internal Error",
-           501: "Not Implemented", 503: "Service Unavailable", 504: "Server Time-out"}
+PHRASES = {100: "Trying", 200: "OK", 400: "Bad Request", 401: "Unauthorized", 409: "Conflict",
+           481: "Call/Transaction Does Not Exist", 482: "Loop Detected", 487: "Request Terminated",
+           500: "Server Internal Error", 501: "Not Implemented", 503: "Service Unavailable",
+           504: "Server Time-out"}
 COPIED = ("via", "from", "to", "call-id", "cseq")  # RFC 3261, 8.2.6.2: a response repeats these
 NAMES = {"via": "Via", "from": "From", "to": "To", "call-id": "Call-ID", "cseq": "CSeq",
-         "content-length": "Content-Length", "reason": "Reason", "p-back-off": "P-Back-Off"}
+         "content-length": "Content-Length", "reason": "Reason", "p-back-off": "P-Back-Off", "contact": "Contact",
+         "flow-timer": "Flow-Timer", "p-device": "P-Device", "p-edge": "P-Edge", "p-age-ms": "P-Age-Ms",
+         "priority-class": "Priority-Class", "expires-ms": "Expires-Ms", "p-trunk-info": "P-Trunk-Info",
+         "p-first-epoch": "P-First-Epoch", "p-customer": "P-Customer"}
 COMPACT = {"v": "via", "f": "from", "t": "to", "i": "call-id", "l": "content-length"}
 _DIGITS = re.compile(r"[0-9]{1,9}\Z")
 _HEX = re.compile(r"[0-9a-f]{16}\Z", re.IGNORECASE)
@@ -170,6 +174,11 @@
     return "\r\n".join(lines).encode() + body
 
 
+def encode(first: str, headers: list[tuple[str, str]], body: bytes = b"") -> bytes:
+    """Any message, of its first line, headers in their order, and body."""
+    return _encode(first, headers, body)
+
+
 def response(request: Message, status: int, body: bytes = b"", back_off_ms: float = 0.0) -> bytes:
     """The response to a request."""
     headers = [(name, value) for name in COPIED for value in request.headers.get(name, [])]
--- /dev/null
+++ b/tests/test_devices_sip.py
@@ -0,0 +1,313 @@
+"""SIP for devices: RFC 3261's transactions by their tables, flows, and one call for both transports."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lab.impairment import Impairment
+from lab.phone import Placed
+from lab.sip_phone import SipPhone
+from lab.world import World
+from ospreyvale.devices.sip import KEEP_ALIVE, PONG
+from ospreyvale.protocol import sip
+from ospreyvale.protocol.errors import ProtocolError
+from ospreyvale.protocol.sip_datagram import message_of, received, tagged, via_of
+from ospreyvale.protocol.transactions import (
+    T1,
+    T2,
+    T4,
+    ClientInvite,
+    ClientOther,
+    ServerInvite,
+    ServerOther,
+    State,
+)
+from tests.rig import START, VirtualClock
+
+CLEAN = Impairment()
+
+
+class Told:
+    """A machine's surroundings: what it sent and told, by the time since its beginning."""
+
+    def __init__(self) -> None:
+        self.clock = VirtualClock()
+        self.said: list[tuple[float, str]] = []
+
+    def send(self, data: bytes) -> None:
+        self.said.append((self.clock.now - START, data.decode()))
+
+    def tell(self, what: str) -> Any:
+        return lambda: self.said.append((self.clock.now - START, what))
+
+    def run(self, until: float) -> list[tuple[float, str]]:
+        self.clock.run(START + until)
+        return self.said
+
+
+def test_timer_a_doubles_until_timer_b() -> None:
+    told = Told()
+    machine = ClientInvite(told.clock, told.send, told.tell("ended"), b"I", told.tell("late"))
+    assert told.run(64 * T1 + 1) == [(T1 * (2**n - 1), "I") for n in range(7)] + [(64 * T1, "late"), (64 * T1, "ended")]
+    assert machine.state is State.TERMINATED
+
+
+@pytest.mark.parametrize(("status", "name", "wait"), [(486, "D", 64 * T1), (200, "M", 64 * T1)])
+def test_a_client_invite_lingers_after_its_final_response(status: int, name: str, wait: float) -> None:
+    told = Told()
+    machine = ClientInvite(told.clock, told.send, told.tell("ended"), b"I", told.tell("late"))
+    assert machine.response(180, b"") and machine.state is State.PROCEEDING
+    assert machine.response(status, b"A") and name in machine.timers
+    again = machine.response(status, b"A")
+    assert again is (status == 200)  # its user acknowledges each 2xx
+    told.run(wait + 1)
+    assert told.said == [(0.0, "I")] + [(0.0, "A")] * (2 if status != 200 else 0) + [(wait, "ended")]
+
+
+def test_timers_e_f_and_k() -> None:
+    told = Told()
+    ClientOther(told.clock, told.send, told.tell("ended"), b"B", told.tell("late"))
+    sent = [at for at, what in told.run(64 * T1 + 1) if what == "B"]
+    assert sent[:5] == [0.0, 500.0, 1_500.0, 3_500.0, 7_500.0] and sent[5] - sent[4] == T2
+    assert told.said[-2:] == [(64 * T1, "late"), (64 * T1, "ended")]
+    told = Told()
+    machine = ClientOther(told.clock, told.send, told.tell("ended"), b"B", told.tell("late"))
+    told.run(100.0)
+    assert machine.response(100) and machine.state is State.PROCEEDING
+    assert machine.response(200) and not machine.response(200)
+    assert told.run(90_000.0)[-1] == (100.0 + T4, "ended")
+
+
+def test_timers_g_h_and_i() -> None:
+    told = Told()
+    machine = ServerInvite(told.clock, told.send, told.tell("ended"), told.tell("unheard"))
+    machine.respond(100, b"100")
+    machine.again()
+    machine.respond(486, b"486")
+    machine.respond(200, b"200")  # the first final one counts
+    sent = [at for at, what in told.run(64 * T1 + 1) if what == "486"]
+    assert sent[:5] == [0.0, 500.0, 1_500.0, 3_500.0, 7_500.0] and sent[5] - sent[4] == T2
+    assert told.said[:2] == [(0.0, "100")] * 2 and told.said[-2:] == [(64 * T1, "unheard"), (64 * T1, "ended")]
+    told = Told()
+    machine = ServerInvite(told.clock, told.send, told.tell("ended"), told.tell("unheard"))
+    machine.respond(486, b"486")
+    assert machine.ack() and not machine.ack() and machine.state is State.CONFIRMED
+    machine.again()
+    assert told.run(90_000.0) == [(0.0, "486"), (T4, "ended")]
+
+
+def test_an_accepted_invite_is_absorbed_until_its_ack() -> None:
+    told = Told()
+    machine = ServerInvite(told.clock, told.send, told.tell("ended"), told.tell("unheard"), repeats=False)
+    machine.respond(200, b"200")
+    machine.again()
+    assert told.run(1_000.0) == [(0.0, "200")] * 2
+    assert machine.ack() and not machine.ack()
+    assert told.run(90_000.0)[2:] == [(1_000.0 + T4, "ended")]
+
+
+def test_timer_j_and_streams() -> None:
+    told = Told()
+    machine = ServerOther(told.clock, told.send, told.tell("ended"))
+    machine.again()
+    machine.respond(200, b"200")
+    machine.respond(500, b"500")
+    machine.again()
+    assert told.run(64 * T1 + 1) == [(0.0, "200")] * 2 + [(64 * T1, "ended")]
+    told = Told()
+    ServerOther(told.clock, told.send, told.tell("ended"), reliable=True).respond(200, b"200")
+    assert told.said == [(0.0, "200"), (0.0, "ended")]
+    told = Told()
+    stream = ClientInvite(told.clock, told.send, told.tell("ended"), b"I", told.tell("late"), reliable=True)
+    told.run(5_000.0)
+    stream.response(486, b"A")
+    assert told.said == [(0.0, "I"), (5_000.0, "A"), (5_000.0, "ended")]
+
+
+@settings(max_examples=150, deadline=None, derandomize=True, database=None)
+@given(st.lists(st.tuples(st.sampled_from(["again", "100", "200", "486", "ack", "run"]), st.integers(1, 9_000)),
+                max_size=30))
+def test_a_server_invite_ends_and_says_one_final_answer(steps: list[tuple[str, int]]) -> None:
+    told = Told()
+    machine = ServerInvite(told.clock, told.send, told.tell("ended"), told.tell("unheard"))
+    for what, wait in steps:
+        match what:
+            case "again":
+                machine.again()
+            case "ack":
+                machine.ack()
+            case "run":
+                told.run(told.clock.now - START + wait)
+            case _:
+                machine.respond(int(what), what.encode())
+    machine.respond(503, b"503")
+    told.run(told.clock.now - START + 64 * T1 + T4 + 1)
+    assert machine.state is State.TERMINATED and not machine.timers
+    assert len({what for _, what in told.said if what in ("200", "486", "503")}) == 1
+    assert [what for _, what in told.said].count("ended") == 1
+
+
+VIA = "SIP/2.0/UDP 10.0.0.1:5060;branch=z9hG4bKabc1;rport;x=1"
+
+
+def options(via: str = VIA, more: str = "") -> bytes:
+    return (f"OPTIONS sip:ping@net SIP/2.0\r\nVia: {via}\r\nTo: <sip:e@net>\r\nCall-ID: 0000000000000001\r\n"
+            f"CSeq: 1 OPTIONS\r\n{more}Content-Length: 0\r\n\r\n").encode()
+
+
+def test_a_response_goes_where_its_request_came_from() -> None:
+    message = received(message_of(options()), "127.0.0.9", 4_000)
+    assert message.header("via") == "SIP/2.0/UDP 10.0.0.1:5060;branch=z9hG4bKabc1;received=127.0.0.9;rport=4000;x=1"
+    plain = received(message_of(options(VIA.replace(";rport", ""))), "127.0.0.9", 4_000)
+    assert "received" not in plain.header("via")
+    once = tagged(message, "ab")
+    assert once.header("to") == "<sip:e@net>;tag=ab" == tagged(once, "cd").header("to")
+
+
+@pytest.mark.parametrize(("data", "reason"), [
+    (options() + b"x", "not one message"), (options()[:-4], "not one message"), (options() * 2, "not one message"),
+    (b"", "not one message")])
+def test_a_datagram_holds_one_message(data: bytes, reason: str) -> None:
+    with pytest.raises(ProtocolError, match=reason):
+        message_of(data)
+
+
+@pytest.mark.parametrize("via", ["", "SIP/2.0/UDP", "SIP/2.0/UDP h", "SIP/2.0/UDP h;branch=old",
+                                 "HTTP/1.1 h;branch=z9hG4bKab",
+                                 "SIP/2.0/UDP h;branch=z9hG4bK" + "a" * 90, "SIP/2.0/UDP h;branch=z9hG4bK"])
+def test_a_via_without_a_branch_of_rfc_3261_is_refused(via: str) -> None:
+    with pytest.raises(ProtocolError):
+        via_of(message_of(options(via)))
+
+
+# ---- the edge ----
+
+
+def flows(model: Impairment = CLEAN, seed: int = 1, **more: Any) -> World:
+    world = World(seed, model, **({"phones": 1} | more))
+    world.attach_sip()
+    assert all(phone.registered for phone in world.sip_phones)
+    return world
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+@pytest.mark.parametrize("model", [CLEAN, Impairment(loss=0.2, jitter_ms=30.0, duplicate=0.05, reorder=0.05),
+                                   Impairment(loss=0.1, stall_every_ms=12_000.0)])
+def test_every_call_over_sip_has_one_answer_or_was_given_up(model: Impairment, seed: int) -> None:
+    world = World(seed, model, phones=5)
+    for phone in world.sip_phones:
+        phone.attach()
+    placed: list[Placed] = []
+    for _ in range(100):
+        placed.append(world.source.choice(world.sip_phones).call("item-hold", world.source.randint(1, 4), 1_800.0))
+        world.run(world.source.expovariate(1 / 120.0))
+    world.run(50_000.0)
+    assert world.faults() == []
+    assert sum(one.gave_up for one in placed) <= (0 if model is CLEAN else 45)
+    assert not world.edge.sip.invites and not world.edge.sip.others and not world.edge.sip.byes
+
+
+def both(world: World, at: float, apart: float, patience: float = 1_800.0, number: int = 0) -> tuple[Placed, Placed]:
+    """One request of one device by both transports, so far apart."""
+    request = bytes([number % 256]) * 8
+    first = world.phones[0].call("item-hold", 2, patience, request=request)
+    world.run(apart)
+    return first, world.sip_phones[0].call("item-hold", 2, patience, request=request, asked_at=first.asked_at)
+
+
+@pytest.mark.parametrize(("apart", "answers_after"), [(0.0, 100.0), (50.0, 100.0), (400.0, 100.0), (0.0, 700.0)])
+def test_the_same_request_by_two_transports_is_one_call(apart: float, answers_after: float) -> None:
+    world = flows(behave=lambda order: ("answer", answers_after))
+    world.attach()
+    first, second = both(world, 0.0, apart)
+    world.run(2_500.0)
+    assert [how for _, how in first.answers] == [how for _, how in second.answers] == ["stands"]
+    assert world.counters["device_requests"] == 1 and len(world.rig.seen) == 1
+    world.run(40_000.0)
+    assert world.faults() == []
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_two_transports_on_poor_links_agree_on_every_answer(seed: int) -> None:
+    world = World(seed, Impairment(loss=0.25, jitter_ms=40.0, stall_every_ms=9_000.0, duplicate=0.1), phones=1,
+                  behave=lambda order: ("answer", 60.0))
+    world.phones[0].attach()
+    world.sip_phones[0].attach()
+    world.run(3_000.0)
+    pairs = []
+    for number in range(25):
+        pairs.append(both(world, 0.0, world.source.choice([0.0, 0.0, 30.0, 300.0]), number=number + 1))
+        world.run(400.0)
+    world.run(60_000.0)
+    told = 0
+    for first, second in pairs:
+        ends = {how for one in (first, second) for _, how in one.answers} - {"given_up"}
+        assert len(ends) <= 1, (first, second)
+        told += bool(ends)
+    assert told >= 15 and len(world.rig.seen) <= 25
+    assert not [fault for fault in world.faults() if "circuits" in fault or "attempts" in fault]
+
+
+def test_what_is_not_proved_gets_a_challenge_or_nothing() -> None:
+    world = World(1, CLEAN, phones=1)
+    phone = world.sip_phones[0]
+    seen: list[bytes] = []
+    phone.send = seen.append
+    phone.attach()
+    wrong = SipPhone(world.clock, "phone-0", bytes(32), 5, seen.append)
+    wrong.epoch, wrong.cookie = world.edge.desk.epoch, world.edge.strangers.cookie(world.clock.now, ("127.8.0.0", 1))
+    wrong.attach()
+    for data in seen[-2:]:
+        world.edge.sip.hear(("127.8.0.0", 1), data)
+    assert world.counters["device_challenges"] == 1 and world.counters["device_unproved"] == 1
+    assert len(world.edge.sessions) == 0
+    (_, _, size), = world.down
+    assert size <= 3 * len(seen[0])
+    before = sum(world.counters.values())
+    for odd in (b"x", b"INVITE", seen[0][:-30], KEEP_ALIVE, b"\xff" * 50):
+        world.edge.sip.hear(("127.8.0.0", 2), odd)
+    assert world.counters["device_malformed"] == 3 + 1 and sum(world.counters.values()) == before + 4
+
+
+def test_a_keep_alive_gets_its_pong_on_a_flow_only() -> None:
+    world = flows()
+    here, before = ("127.8.0.0", 15_000), len(world.down)
+    world.edge.sip.hear(here, KEEP_ALIVE)
+    world.edge.sip.hear(("127.8.9.9", 1), KEEP_ALIVE)
+    assert [(to, size) for _, to, size in world.down[before:]] == [(here, len(PONG))]
+
+
+def test_a_request_whose_content_was_changed_on_its_way_is_not_taken() -> None:
+    world = flows()
+    phone, sent = world.sip_phones[0], list[bytes]()
+    phone.send = sent.append
+    phone.call("item-hold", 2, 1_800.0)
+    address = ("127.8.0.0", 15_000)
+    for old, new in ((b"dest:2", b"dest:3"), (b"item-hold", b"stock-check"), (b"-Ms: 1800", b"-Ms: 5800")):
+        world.edge.sip.hear(address, sent[0].replace(old, new).replace(b"z9hG4bK", b"z9hG4bK" + new[:1]))
+    assert world.counters["device_unproved"] == 3 and world.rig.seen == {}
+    world.edge.sip.hear(address, sent[0])
+    assert len(world.rig.seen) == 1
+    world.edge.sip.hear(address, sent[0].replace(b"z9hG4bK", b"z9hG4bKx"))  # another transaction, the same count
+    assert world.counters["device_repeated"] == 1 and len(world.rig.seen) == 1
+
+
+def test_a_cancel_over_sip_gets_its_200_and_the_invite_its_487() -> None:
+    world = flows(behave=lambda order: ("silent", 0.0))
+    phone = world.sip_phones[0]
+    placed = phone.call("item-hold", 2, 1_800.0)
+    world.run(200.0)
+    phone.give_up(placed)
+    world.run(40_000.0)
+    assert world.counters["device_cancels"] == 1 and not world.edge.sip.invites and world.faults() == []
+    assert not phone.invites and not phone.others
+
+
+def test_sip_statuses_have_their_phrases() -> None:
+    from ospreyvale.devices.sip import STATUS
+
+    assert set(STATUS.values()) <= set(sip.PHRASES)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -6,7 +6,8 @@
 import pytest
 
 PACKAGE = Path(__file__).resolve().parent.parent / "ospreyvale"
-LAYERS = ["transport", "protocol", "timing", "routing", "settings", "exchanges", "fronts", "operations", "program"]
+LAYERS = ["transport", "protocol", "timing", "routing", "devices", "settings", "exchanges",
+          "fronts", "operations", "program"]
 WIRES = re.compile(r"\b(sip|isup|m3ua|sctp|otlp|http|h11|invite|iam)\b", re.IGNORECASE)
 
 
@@ -44,8 +45,9 @@
         assert not re.search(r"^import (select|os|time)\b|socket\.socket|open\(", text, re.M), path
 
 
-def test_the_timing_package_does_no_input_or_output() -> None:
-    for path in (PACKAGE / "timing").glob("*.py"):
+@pytest.mark.parametrize("package", ["timing", "devices"])
+def test_the_packages_of_state_do_no_input_or_output(package: str) -> None:
+    for path in (PACKAGE / package).glob("*.py"):
         text = path.read_text()
         assert not re.search(r"^import (select|os|time|socket|random)\b|open\(|print\(", text, re.M), path
 
