The program serves devices: front, settings, operators' calls, handover and drain

Need: the edge for devices has to run in the program, off on the platform, and survive its replacement. Change: a devices node in deploy/edge.kdl (listeners by wire, key file, limits, where devices are sent); datagram sockets on the loop; GET /v1/devices; sessions, requests and what waits to be heard go to a process that replaces this one with their sockets; a drain tells devices to go. lab/relay.py is the impairment stand-in on real sockets.

--- /dev/null
+++ b/lab/relay.py
@@ -0,0 +1,85 @@
+"""The impairment stand-in on real sockets: a relay of datagrams and of streams, each through a model of a poor link.
+
+It runs on the loop that it is given.  A stream loses nothing: a packet that the model loses comes later, as a
+retransmission would, and those after it wait (a second of waiting for each loss in a row).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from lab.impairment import Impairment, Link
+from ospreyvale.transport.loop import Coroutine, Loop
+from ospreyvale.transport.network import Address, Datagrams, Network
+from ospreyvale.transport.network import Link as Stream
+
+AGAIN_MS = 200.0  # after which a stream's lost packet is sent again, doubled each time
+
+
+class DatagramRelay:
+    """One device's way to the edge; `move` gives it another address towards the edge."""
+
+    def __init__(self, network: Network, edge: Address, model: Impairment, seed: int) -> None:
+        self.network, self.loop, self.edge = network, network.loop, edge
+        self.link = Link(model, seed, network.loop.now)
+        self.hear: Callable[[bytes], None] = lambda data: None
+        self.outside: list[Datagrams] = []
+        self.move()
+
+    def move(self) -> None:
+        """Another socket towards the edge: what still comes to the one before is lost."""
+        for socket in self.outside:
+            socket.close()
+        self.outside = [self.network.datagrams(("127.0.0.1", 0), lambda _, data: self._pass(
+            "down", lambda: self.hear(data)))]
+
+    def send(self, data: bytes) -> None:
+        socket = self.outside[0]
+        self._pass("up", lambda: socket.send(self.edge, data) if socket.fileno() >= 0 else None)
+
+    def close(self) -> None:
+        for socket in self.outside:
+            socket.close()
+
+    def _pass(self, direction: str, act: Callable[[], None]) -> None:
+        for at in self.link.fate(direction, self.loop.now):
+            self.loop.at(at, act)
+
+
+class StreamRelay:
+    """Listens for a device's connections and carries each on to the edge."""
+
+    def __init__(self, network: Network, listen: Address, edge: Address, model: Impairment, seed: int) -> None:
+        self.network, self.loop, self.edge = network, network.loop, edge
+        self.link = Link(model, seed, network.loop.now)
+        self.free: dict[str, float] = {"up": 0.0, "down": 0.0}
+        self.listener = network.listen(listen, self._serve, lambda: False)
+
+    def close(self) -> None:
+        self.listener.close()
+
+    def _serve(self, near: Stream) -> Coroutine:
+        far = yield from self.network.dial(self.edge, 1_000.0)
+        if far is None:
+            near.close()
+            return
+        self.loop.spawn(self._carry("down", far, near))
+        yield from self._carry("up", near, far)
+
+    def _carry(self, direction: str, source: Stream, sink: Stream) -> Coroutine:
+        while data := (yield from source.receive()):
+            self.loop.at(self._arrives(direction), lambda data=data: sink.send(data) and None)  # type: ignore[misc]
+        self.loop.at(max(self.loop.now, self.free[direction]), sink.close)
+
+    def _arrives(self, direction: str) -> float:
+        now, wait, late = self.loop.now, AGAIN_MS, 0.0
+        while not (fate := self.link.fate(direction, now)):
+            late += wait
+            wait = min(2.0 * wait, 1_000.0)
+        self.free[direction] = max(self.free[direction] + 0.001, fate[0] + late)
+        return self.free[direction]
+
+
+def loop_clock(loop: Loop) -> Loop:
+    """A loop is a clock as phones want one: `now` and `at`."""
+    return loop
--- a/ospreyvale/devices/desk.py
+++ b/ospreyvale/devices/desk.py
@@ -291,6 +291,10 @@
         if left <= 2.0 * self.release_ms:
             self._final(request.key, REFUSED, 0)
             return
+        self.offer_later(request)
+
+    def offer_later(self, request: Request) -> None:
+        """Offer it once the release time is over."""
         request.timer = self.clock.at(self.clock.now + self.release_ms + 1.0, lambda: self._offer(request))
 
     def _disown(self, call: int) -> None:
--- a/ospreyvale/fronts/http.py
+++ b/ospreyvale/fronts/http.py
@@ -48,7 +48,7 @@
     body: bytes = b""
 
 
-Routes = Mapping[bytes, Mapping[bytes, Callable[[bytes], Reply]]]  # by path, then by method; the body is given
+Routes = Mapping[bytes, Mapping[bytes, Callable[[bytes], Reply]]]  # by path, then by method; given the body or query
 
 
 class HttpFront:
@@ -89,11 +89,12 @@
 
     def _reply(self, request: h11.Request, body: bytes) -> tuple[Reply, str]:
         """The reply, and the methods that the path allows where this was another."""
-        methods = self.routes.get(request.target.partition(b"?")[0])
+        path, _, query = request.target.partition(b"?")
+        methods = self.routes.get(path)
         if methods is None:
             return Reply(404), ""
         act = methods.get(request.method)
-        return (Reply(405), b", ".join(methods).decode()) if act is None else (act(body), "")
+        return (Reply(405), b", ".join(methods).decode()) if act is None else (act(body or query), "")
 
     @staticmethod
     def _answer(link: Link, peer: h11.Connection, reply: Reply, allow: str = "") -> None:
--- a/ospreyvale/operations/handover.py
+++ b/ospreyvale/operations/handover.py
@@ -11,7 +11,7 @@
 import os
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from ospreyvale.exchanges.isup import IsupExchanges
 from ospreyvale.exchanges.m3ua import M3uaExchanges
@@ -23,11 +23,14 @@
 from ospreyvale.routing import interface as i
 from ospreyvale.routing.context import Log
 from ospreyvale.routing.core import Core
-from ospreyvale.routing.state import CallState, Offer
+from ospreyvale.routing.state import CallerPort, CallState, Offer
 from ospreyvale.transport.local import Channel
 from ospreyvale.transport.loop import Coroutine, Loop
 from ospreyvale.transport.network import Address, Link, Listening
 
+if TYPE_CHECKING:
+    from ospreyvale.fronts.devices import DeviceFront
+
 PREPARE_MS = 1_500.0  # the bus and the lines may take so long; then the new process takes over without
 ANSWER_MS = 1_000.0  # an old process that says nothing for so long is passed over
 LOOK_MS = 10.0
@@ -54,6 +57,12 @@
     listen: Callable[[Address, int | None], None]
     drain: Drain
     log: Log
+    devices: DeviceFront | None = None
+
+    def port(self, call: int) -> CallerPort:
+        """The front that a call came by."""
+        mine = self.devices is not None and call in self.devices.desk.index.live
+        return self.devices.desk if mine and self.devices is not None else self.sip
 
 
 class Incumbent:
@@ -110,9 +119,17 @@
                             unheard=node.exchanges.unheard(), **_flat(learned)))
         if node.older is not None:
             channel.send(encode("circuits", in_use=node.older.in_use()))
+        ports: list[CallerPort] = [node.sip]
+        if node.devices is not None:
+            ports.append(node.devices.desk)
+            for wire, socket in node.devices.sockets.items():
+                channel.send(encode("datagrams", wire=wire), os.dup(socket.fileno()))
+            node.devices.close()
+            for plain in node.devices.hand_over():
+                channel.send(encode("device", plain=plain))
         held = []
         for state in list(table.calls.values()):
-            if state.caller is not node.sip:
+            if state.caller not in ports:
                 continue
             if state.standing and node.exchanges.knows(state):
                 channel.send(encode("call", **_call(state)))
@@ -151,6 +168,8 @@
             self.node.drain.end()
             self.node.sip.share(1)
             self.node.core.home = self.node.sip
+            if self.node.devices is not None:
+                self.node.devices.begin_anew()
             for state in list(self.node.core.context.table.calls.values()):
                 if isinstance(state.caller, Forward):  # its caller's connection went with the successor
                     state.caller = self.node.sip
@@ -194,6 +213,7 @@
         self.calls: dict[int, bool] = {}  # that the old process holds, and whether they stand
         self.taking = self.done = False
         self.fds: list[int] = []
+        self.datagrams: dict[str, int] = {}  # sockets of devices, by wire
         node.core.elsewhere = self
         node.core.home = Early(channel)
         node.sip.share(2)
@@ -245,6 +265,10 @@
                 self._prepare(frame["offset"], node.loop.now + PREPARE_MS)
             case "listener":
                 node.listen((frame["host"], frame["port"]), self.fds.pop(0))
+            case "datagrams":
+                self.datagrams[frame["wire"]] = self.fds.pop(0)
+            case "device" if node.devices is not None:
+                node.devices.importer().take(frame["plain"])
             case "learned":
                 core.control.take_on(_learned(frame))
                 core.context.table.remember(frame["over"])
@@ -264,11 +288,11 @@
             case "answer":
                 self._answer(frame)
             case "refuse" if self.calls.pop(frame["call"], None) is not None:
-                node.sip.refuse(frame["call"], frame["back_off_ms"])
+                node.port(frame["call"]).refuse(frame["call"], frame["back_off_ms"])
             case "fail" if self.calls.pop(frame["call"], None) is not None:
-                node.sip.fail(frame["call"])
+                node.port(frame["call"]).fail(frame["call"])
             case "over" if self.calls.pop(frame["call"], None) is not None:
-                node.sip.release(frame["call"], i.Outcome(frame["outcome"]))
+                node.port(frame["call"]).release(frame["call"], i.Outcome(frame["outcome"]))
             case "over":
                 core.over(frame["call"], i.Outcome(frame["outcome"]))
 
@@ -285,7 +309,8 @@
 
     def _adopt(self, frame: dict[str, Any]) -> None:
         offer = Offer(**frame["offer"], description=b"")
-        self.node.core.adopt(offer, self.node.sip, data(frame["exchange"]), frame["number"], frame["sent_at"])
+        self.node.core.adopt(offer, self.node.port(offer.call), data(frame["exchange"]), frame["number"],
+                             frame["sent_at"])
 
     def _answer(self, frame: dict[str, Any]) -> None:
         call = frame["offer"]["call"]
@@ -295,13 +320,18 @@
         elif waits:
             self.calls[call] = True
         if waits:
-            self.node.sip.answer(call, data(frame["description"]))
+            self.node.port(call).answer(call, data(frame["description"]))
         else:  # its caller gave up meanwhile
             self.node.core.hang_up(call)
 
     def _done(self) -> None:
         self.done = True
         self.node.core.home = self.node.sip
+        if self.node.devices is not None:
+            self.node.devices.open(self.datagrams)
+            self.node.devices.importer().done()
+            for wire in self.node.devices.sockets:
+                self.datagrams.pop(wire, None)
         self.node.log("took_over", calls=len(self.node.core.context.table.calls), held=len(self.calls))
         self.ready()
 
@@ -310,7 +340,7 @@
         node = self.node
         node.core.elsewhere, node.core.home = None, node.sip
         node.sip.share(1)
-        for fd in self.fds:
+        for fd in [*self.fds, *self.datagrams.values()]:
             os.close(fd)
         node.exchanges.renew()
         if node.older is not None:
@@ -318,9 +348,9 @@
         calls, self.calls = self.calls, {}
         for call, stands in calls.items():
             if stands:
-                node.sip.release(call, i.Outcome.RESET)
+                node.port(call).release(call, i.Outcome.RESET)
             else:
-                node.sip.fail(call)
+                node.port(call).fail(call)
         node.log("replaced", lost=len(calls), whole=self.done)
         if not self.done:
             self.ready()
--- a/ospreyvale/program/app.py
+++ b/ospreyvale/program/app.py
@@ -13,7 +13,7 @@
 import traceback
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from ospreyvale.exchanges.bus import BusFront
 from ospreyvale.exchanges.isup import IsupExchanges
@@ -36,8 +36,12 @@
 from ospreyvale.timing.policy import Site
 from ospreyvale.transport.local import dial_local, listen_local
 from ospreyvale.transport.loop import READ, Coroutine, Loop
-from ospreyvale.transport.network import Address, Dialer, Link, Listening, Network
+from ospreyvale.transport.network import Address, Datagrams, Dialer, Link, Listening, Network
 
+if TYPE_CHECKING:
+    from ospreyvale.fronts.devices import DeviceFront
+
+TCP = "sip-tcp"
 EDGE = Path("deploy/edge.kdl")  # or what LB_EDGE names
 LINGER_MS = 750.0  # set-ups may still come for 0.6 s after SIGTERM
 CHECK_MS = 20.0
@@ -59,6 +63,9 @@
     def listen(self, address: Address, serve: Callable[[Link], Coroutine],
                make_room: Callable[[], bool], urgent: bool = False, fd: int | None = None) -> Listening: ...
 
+    def datagrams(self, address: Address, hear: Callable[[Address, bytes], None],
+                  fd: int | None = None) -> Datagrams: ...
+
     def resume(self, fd: int, serve: Callable[[Link], Coroutine]) -> None: ...
 
 
@@ -98,6 +105,9 @@
         if edge.otlp.endpoint is not None:
             OtlpExporter(network, edge.otlp, edge.otlp.endpoint, config.name, self.figures, self.counters,
                          log)
+        self.devices = device_front(network, self, edge) if edge.devices is not None else None
+        if self.devices is not None and edge.devices is not None and TCP in edge.devices.listen:
+            self.serves[edge.devices.listen[TCP]] = self.devices.serve
         self.listeners: dict[Address, Listening] = {}  # where callers connect
         self.beside: list[Listening] = []  # where operators call
         self.timing.take(edge.timing, "start")
@@ -105,13 +115,14 @@
         if edge.counters is not None:
             self._listen_http(network, edge.counters, counters_routes(self.figures))
         if config.admin is not None:
-            admin = Admin(self.kept, self.drain, self.timing, lambda: self.ready and not self.incumbent.handed)
+            admin = Admin(self.kept, self.drain, self.timing, self.devices,
+                          lambda: self.ready and not self.incumbent.handed)
             self._listen_http(network, config.admin, admin.routes)
         loop.on_fault = self._fault
         self.shared = shared / f"{config.name}.handover" if shared is not None else None
         self.stop_shared: Callable[[], None] = lambda: None
         node = Node(loop, self.core, self.sip, self.exchanges, older, network, lambda: self.bus.offset,
-                    self.listeners, self._listen, self.drain, log)
+                    self.listeners, self._listen, self.drain, log, self.devices)
         self.incumbent = Incumbent(node, self._end)
         channel = dial_local(loop, self.shared) if self.shared is not None else None
         if channel is None:
@@ -134,6 +145,8 @@
         for address in self.serves:
             if address not in self.listeners:
                 self._listen(address)
+        if self.devices is not None:
+            self.devices.open()
         self.ready = True
         if self.shared is not None:
             try:
@@ -213,6 +226,8 @@
     def _end(self) -> None:
         for listener in [*self.listeners.values(), *self.beside]:
             listener.close()
+        if self.devices is not None:
+            self.devices.close()
         self.stop_shared()
         self.loop.running = False
 
@@ -249,6 +264,15 @@
             self.act(number)
 
 
+def device_front(network: Edges, app: App, edge: Edge) -> DeviceFront:
+    """The front of devices; its libraries are read where the document has the node only."""
+    from ospreyvale.fronts.devices import DeviceFront
+
+    assert edge.devices is not None
+    return DeviceFront(network, app.loop, app.core, edge.devices, app.config.classes, app.config.settings,
+                       app.counters, app.log, app.drain)
+
+
 def event_log(loop: Loop, name: str, edge: Edge) -> EventLog:
     """The log as the document wants it; the library is read where it has a `log` node only."""
     if edge.log is None:
--- a/ospreyvale/settings/document.py
+++ b/ospreyvale/settings/document.py
@@ -8,6 +8,7 @@
 
 import math
 import re
+import socket
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -99,6 +100,21 @@
             return missing or ""
         return value
 
+    def address(self, name: str) -> tuple[str, int]:
+        """A property that is an address and a port, as 127.0.0.1:4318."""
+        text = self.text(name)
+        host, _, port = text.rpartition(":")
+        try:
+            socket.inet_aton(host)
+            number = int(port)
+        except (OSError, ValueError):
+            number = -1
+        if not 0 <= number < 65_536:
+            if text:  # else it is missing, and that has been said
+                self.refuse(f'{name} is "{text[:40]}"; allowed: an address and a port, as 127.0.0.1:4318')
+            return "127.0.0.1", 0
+        return host, number
+
     def argument(self, allowed: str) -> str | int | None:
         """The next argument, a text or a whole number; None where there is none (a reason)."""
         if self._args >= len(self.node.args):
--- a/ospreyvale/settings/edge.py
+++ b/ospreyvale/settings/edge.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 from pathlib import Path
 
-from ospreyvale.settings.config import ConfigError, address
+from ospreyvale.settings.devices import DevicesConfig, devices_of
 from ospreyvale.settings.document import Reader, parse, read
 from ospreyvale.settings.timing import policy_of
 from ospreyvale.timing.policy import Policy, Site
@@ -64,21 +64,22 @@
     counters: Address | None
     timing: Policy | None = None
     log: LogConfig | None = None
+    devices: DevicesConfig | None = None
 
 
 def read_edge(path: Path, site: Site) -> Edge:
     """The file's contents, checked; DocumentError with every reason where they are refused."""
-    return edge_from(read(path), path.name, site)
+    return edge_from(read(path), path.name, site, path.parent)
 
 
-def edge_from(text: str, file: str, site: Site) -> Edge:
-    """The settings in the document's nodes, all or none."""
+def edge_from(text: str, file: str, site: Site, folder: Path = Path()) -> Edge:
+    """The settings in the document's nodes, all or none; files that it names lie in the folder."""
     top, problems = parse(text, file)
     m3ua = _m3ua(top.child("m3ua"))
     reached = {*site.exchanges, *(exchange.number for exchange in m3ua.exchanges)}
     timing = policy_of(top, problems, replace(site, exchanges=tuple(sorted(reached))), text)
     edge = Edge(m3ua, _otlp(top.child("otlp")), _counters(top.child("counters")), timing,
-                _log(top.child("log")))
+                _log(top.child("log")), devices_of(top.child("devices"), folder))
     top.done()
     problems.refuse()
     return edge
@@ -90,7 +91,7 @@
     exchanges = [_exchange(child) for child in node.children("exchange")]
     if len({exchange.number for exchange in exchanges}) < len(exchanges):
         node.refuse("has an exchange's number twice")
-    config = M3uaConfig(_address(node, "listen") if node.has("listen") else None,
+    config = M3uaConfig(node.address("listen") if node.has("listen") else None,
                         node.whole("point-code", 0, 0xFFFFFF, 1), node.whole("prefix", 1, 16, 2),
                         node.whole("circuits", 1, LARGEST_CIC, 30), tuple(exchanges))
     node.done()
@@ -102,7 +103,7 @@
     if not isinstance(number, int) or not 0 <= number <= 0xFFFF:
         node.refuse("is not the number of an exchange; allowed: a whole number from 0 to 65535")
         number = 0
-    exchange = M3uaExchange(number, _address(node, "address"), node.whole("point-code", 0, 0xFFFFFF),
+    exchange = M3uaExchange(number, node.address("address"), node.whole("point-code", 0, 0xFFFFFF),
                             node.whole("circuits", 1, LARGEST_CIC, 30))
     node.done()
     return exchange
@@ -114,7 +115,7 @@
     path = node.text("path", "/v1/metrics")
     if not path.startswith("/"):
         node.refuse(f'path is "{path}"; allowed: one that begins with /')
-    config = OtlpConfig(_address(node, "endpoint"), path, float(node.whole("interval-ms", 100, 3_600_000, 5_000)))
+    config = OtlpConfig(node.address("endpoint"), path, float(node.whole("interval-ms", 100, 3_600_000, 5_000)))
     node.done()
     return config
 
@@ -122,7 +123,7 @@
 def _counters(node: Reader | None) -> Address | None:
     if node is None:
         return None
-    listen = _address(node, "listen")
+    listen = node.address("listen")
     node.done()
     return listen
 
@@ -146,13 +147,3 @@
     node.done()
     return LogConfig(level, frozenset(without), tuple(sorted(fields.items())))
 
-
-def _address(node: Reader, name: str) -> Address:
-    text = node.text(name)
-    try:
-        return address(text, name)
-    except ConfigError as error:
-        if text:  # else it is missing, and that has been said
-            node.refuse(f"{error}; allowed: as 127.0.0.1:4318")
-        return "127.0.0.1", 0
-
--- a/ospreyvale/transport/network.py
+++ b/ospreyvale/transport/network.py
@@ -217,11 +217,13 @@
 class Datagrams:
     """One UDP socket: `hear` gets each datagram, `DATAGRAMS_A_TURN` at most in one turn, cut off at `DATAGRAM_MOST`."""
 
-    def __init__(self, loop: Loop, address: Address, hear: Callable[[Address, bytes], None]) -> None:
+    def __init__(self, loop: Loop, address: Address, hear: Callable[[Address, bytes], None],
+                 fd: int | None = None) -> None:
         self.loop, self.hear, self.unsent = loop, hear, 0
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM) if fd is None else socket.socket(fileno=fd)
         self.sock.setblocking(False)
-        self.sock.bind(address)
+        if fd is None:
+            self.sock.bind(address)
         self.address: Address = self.sock.getsockname()
         loop.watch(self.sock.fileno(), READ, self._readable)
 
@@ -232,6 +234,9 @@
         except OSError:  # the queue is full, or an earlier one was refused there
             self.unsent += 1
 
+    def fileno(self) -> int:
+        return self.sock.fileno()
+
     def close(self) -> None:
         if self.sock.fileno() >= 0:
             self.loop.unwatch(self.sock.fileno())
@@ -261,9 +266,9 @@
             else socket.socket(fileno=fd)
         return Listener(self.loop, sock, serve, make_room, urgent)
 
-    def datagrams(self, address: Address, hear: Callable[[Address, bytes], None]) -> Datagrams:
-        """A datagram socket at the address."""
-        return Datagrams(self.loop, address, hear)
+    def datagrams(self, address: Address, hear: Callable[[Address, bytes], None], fd: int | None = None) -> Datagrams:
+        """A datagram socket at the address, or one that another process had there."""
+        return Datagrams(self.loop, address, hear, fd)
 
     def resume(self, fd: int, serve: Callable[[Link], Coroutine]) -> None:
         """Start `serve` on a connection that another process had."""
--- a/tests/player.py
+++ b/tests/player.py
@@ -34,7 +34,7 @@
 from ospreyvale.settings.edge import edge_from
 from ospreyvale.settings.timing import site_of
 from ospreyvale.transport.loop import Coroutine, Loop, Signal
-from ospreyvale.transport.network import Address, Link, Listening
+from ospreyvale.transport.network import Address, Datagrams, Link, Listening
 
 START = 1_000_000.0
 
@@ -155,6 +155,10 @@
         self.served[address] = serve
         return MemoryListener()
 
+    def datagrams(self, address: Address, hear: Callable[[Address, bytes], None],
+                  fd: int | None = None) -> Datagrams:
+        raise NotImplementedError
+
     def resume(self, fd: int, serve: Callable[[Link], Coroutine]) -> None:
         raise NotImplementedError
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -64,14 +64,14 @@
 
 @pytest.mark.parametrize(("document", "text"), [
     ("m3ua prefix=0", "edge: m3ua: prefix is 0; allowed: a whole number from 1 to 16"),
-    ('m3ua listen="here"', "edge: m3ua: listen is not an address and a port; allowed: as 127.0.0.1:4318"),
+    ('m3ua listen="here"', 'edge: m3ua: listen is "here"; allowed: an address and a port, as 127.0.0.1:4318'),
     ("m3ua { exchange 1 point-code=1; }", "edge: m3ua > exchange 1: address is missing; allowed: a text"),
     ('m3ua { exchange 1 address="127.0.0.1:1" point-code=1; exchange 1 address="127.0.0.1:1" point-code=2; }',
      "edge: m3ua: has an exchange's number twice"),
     ('otlp endpoint="127.0.0.1:1" path="x"', 'edge: otlp: path is "x"; allowed: one that begins with /'),
     ("counters", "edge: counters: listen is missing; allowed: a text"),
     ("m3ua;m3ua", "edge: m3ua stands 2 times; allowed: once"),
-    ("tls", "edge: node tls is not known; allowed: counters, log, m3ua, otlp, timing"),
+    ("tls", "edge: node tls is not known; allowed: counters, devices, log, m3ua, otlp, timing"),
 ])
 def test_a_wrong_edge_file_names_the_node(document: str, text: str) -> None:
     with pytest.raises(DocumentError) as caught:
