Keep the pace of SIP paths, and no doubled time-outs on a path that is heard

Cause: an ACK did not give its path its pace back, so that answers over SIP went out one at a time; and a path's time-out stayed doubled until a round trip could be measured, which on a link that loses a fifth is seldom (RFC 6298 takes a loss for a queue that grows; here the pace does that).

--- a/ospreyvale/devices/desk.py
+++ b/ospreyvale/devices/desk.py
@@ -25,6 +25,7 @@
 
 STANDS, REFUSED, FAILED, GIVEN_UP, CONFLICT = 1, 2, 3, 4, 5  # the ends of an ANSWER
 RELEASE_KEPT_MS = 8_000.0  # a release is said for so long
+PACE_MOST = 8  # answers and releases that are out unacknowledged on one path; halved for each time-out
 OUTBOX_MOST = 64  # answers and releases of one device; the oldest release gives way
 TURN_MS = 60_000.0  # what has its answer is known for one to two of these
 CAUSES = {i.Outcome.OK: 16, i.Outcome.RESET: 41}
@@ -172,7 +173,7 @@
             for said, on, at in item.numbers:
                 if said == number:
                     on.rtt.sample(self.clock.now - at)
-                    on.pace = min(8, on.pace + 1)
+                    on.pace = min(PACE_MOST, on.pace + 1)
                     self.counters["device_heard"] += 1
                     self._heard(item, name)
                     return
@@ -182,8 +183,10 @@
         name = (fingerprint(self.epoch, session.device, request), answer)
         item = session.outbox.get(name)
         if item is not None:
-            if item.sends == 1 and item.path is not None:  # Karn: of one said once it is known which was heard
-                item.path.rtt.sample(self.clock.now - item.sent_at)
+            if item.path is not None:
+                item.path.pace = min(PACE_MOST, item.path.pace + 1)
+                if item.sends == 1:  # Karn: of one said once it is known which was heard
+                    item.path.rtt.sample(self.clock.now - item.sent_at)
             self.counters["device_heard"] += 1
             self._heard(item, name)
 
--- a/ospreyvale/devices/moving.py
+++ b/ospreyvale/devices/moving.py
@@ -99,8 +99,9 @@
         session = self.desk.sessions.by_device.get(plain["device"])
         if session is None:
             return
-        fields: dict[str, Any] = {name: bytes.fromhex(value) if name in ("request", "description", "first_epoch") else value
-                  for name, value in plain["ask"].items()}
+        fields: dict[str, Any] = dict(plain["ask"])
+        for name in ("request", "description", "first_epoch"):
+            fields[name] = bytes.fromhex(fields[name])
         ask = Ask(**fields)
         request = Request(session, ask, plain["key"], ask.content, plain["deadline"], plain["offered"],
                           _finished(plain["answer"]) if plain["answer"] is not None else None)
--- a/ospreyvale/devices/sessions.py
+++ b/ospreyvale/devices/sessions.py
@@ -47,6 +47,7 @@
 
     def heard(self, now: float, size: int) -> None:
         self.came += size
+        self.rtt.backed = 0  # it lives: what was lost was lost to the link, not to a queue that grows
         self.heard_at, self.asked_at = max(now, self.heard_at), math.inf
 
     def said(self, now: float, size: int) -> None:
