--- a/lab/links.py
+++ b/lab/links.py
@@ -9,6 +9,7 @@
 import gc
 import heapq
 import math
+import os
 import resource
 import statistics
 import sys
@@ -238,18 +239,28 @@
             made.find(key)
         return made
 
+    spent = {}
     for name, fill in (("dict with a heap", fill_heap), ("two generations", fill_index)):
-        times = []
-        for _ in range(3):
+        times, sizes, entries = [], [], 0
+        for _ in range(3):  # each in a process of its own, so that none has what the one before has freed
             gc.collect()
-            before, began = held(), time.process_time()
-            kept = fill()
-            times.append(time.process_time() - began)
-            size = held() - before
-            entries = len(kept.entries) if isinstance(kept, DictAndHeap) else len(kept)
-            del kept
-        print(f"{name}: {statistics.median(times):.2f} s for {count:,} requests, {entries:,} held at the end, "
-              f"{size / 2**20:.0f} MiB more")
+            read, write = os.pipe()
+            if not os.fork():
+                before, began = held(), time.process_time()
+                kept = fill()
+                took, size = time.process_time() - began, held() - before
+                entries = len(kept.entries) if isinstance(kept, DictAndHeap) else len(kept)
+                os.write(write, f"{took} {size} {entries}".encode())
+                os._exit(0)
+            os.wait()
+            took_text, size_text, entries_text = os.read(read, 100).decode().split()
+            times.append(float(took_text))
+            sizes.append(int(size_text))
+            entries = int(entries_text)
+        spent[name] = statistics.median(times)
+        print(f"{name}: {entries:,} held at the end, {statistics.median(sizes) / 2**20:.0f} MiB more")
+    ratio = spent["two generations"] / spent["dict with a heap"]
+    print(f"time of two generations over a dict with a heap: {ratio:.2f}")
 
 
 def moves() -> None:
--- a/ospreyvale/devices/desk.py
+++ b/ospreyvale/devices/desk.py
@@ -25,6 +25,7 @@
 
 STANDS, REFUSED, FAILED, GIVEN_UP, CONFLICT = 1, 2, 3, 4, 5  # the ends of an ANSWER
 RELEASE_KEPT_MS = 8_000.0  # a release is said for so long
+ITEM_BYTES = 100  # of an answer or release on the shortest wire, but for its description
 PACE_MOST = 8  # answers and releases that are out unacknowledged on one path; halved for each time-out
 OUTBOX_MOST = 64  # answers and releases of one device; the oldest release gives way
 TURN_MS = 60_000.0  # what has its answer is known for one to two of these
@@ -342,7 +343,8 @@
         if now >= item.until:
             self._expire(item)
             return
-        able = [path for path in session.paths if self.wires[path.wire].able(session, path, item)]
+        size = ITEM_BYTES + (len(item.answer.description) if item.answer is not None else 0)
+        able = [path for path in session.paths if path.room(size) and self.wires[path.wire].able(session, path, item)]
         best = session.best(now, able)
         if best is None:
             item.timer = self.clock.at(min(now + 200.0, item.until), lambda: self._send(item))
--- a/tests/test_devices.py
+++ b/tests/test_devices.py
@@ -105,13 +105,14 @@
     phone.call("item-hold", 2, 1_800.0)
     victim = ("127.8.9.9", 9_999)
     world.edge.counter.hear(victim, sent[0])
+    world.run(6_000.0)  # the device itself is silent: its answer is said again and again, on all paths
     phone.send = true_send
-    world.run(6_000.0)
     came = len(sent[0])
     assert 0 < sum(size for _, to, size in world.down if to == victim) <= 3 * came
     assert world.counters["device_paths_new"] == 1 and world.counters["device_paths_proved"] == 0
+    assert world.counters["device_said_again"] > 5
     world.run(9_000.0)
-    assert world.faults() == []
+    assert world.rig.stands == {}
 
 
 def test_an_address_taken_over_by_another_device() -> None:
@@ -236,6 +237,15 @@
     world = attached(Impairment(blackouts=(("up", 3_025.0, 4_000.0),)), behave=lambda order: ("answer", 300.0))
     phone = world.phones[0]
     (session,) = world.edge.sessions.by_device.values()
+    said: list[bytes] = []
+    send = world.edge.counter.send
+
+    def note(address: Any, data: bytes) -> None:
+        if decode(data).kind is Kind.CON:
+            said.append(decode(data).get(Field.REQUEST))
+        send(address, data)
+
+    world.edge.counter.send = note
     stock = [phone.call("stock-check", 1 + n % 4, 5_000.0) for n in range(4)]
     hold = phone.call("item-hold", 1, 5_000.0)
     world.run(250.0)
@@ -244,7 +254,7 @@
     world.run(6_000.0)
     assert all(len(one.answers) == 1 for one in [*stock, hold])
     # The first was said before there was any other; of what waited then the dearest goes first.
-    assert sum(one.answers[0][0] < hold.answers[0][0] for one in stock) == 1
+    assert list(dict.fromkeys(said))[1] == hold.request
 
 
 def test_the_same_request_again_and_after_its_answer_joins_the_one_call() -> None:
@@ -458,6 +468,18 @@
     assert set(index.live) == set(live)
 
 
+def test_the_index_forgets_after_two_turns_however_often_it_is_looked_at() -> None:
+    index: RequestIndex[str] = RequestIndex(10.0)
+    index.turn(0.0)
+    index.finish(1, Finished(b"", 1))
+    for tenth in range(1, 95):
+        index.turn(tenth / 10.0)
+    assert index.find(1) is not None
+    for tenth in range(95, 310):
+        index.turn(tenth / 10.0)
+    assert index.find(1) is None and len(index) == 0
+
+
 def test_fingerprints_keep_devices_apart() -> None:
     assert len({fingerprint(b"salt", f"d{n}", bytes([m] * 8)) for n in range(50) for m in range(50)}) == 2_500
     assert fingerprint(b"a", "d", b"r") != fingerprint(b"b", "d", b"r")
