--- a/lab/fuzz.py
+++ b/lab/fuzz.py
@@ -1,6 +1,7 @@
 """Fuzzing of both datagram codecs by hand: `python -m lab.fuzz SECONDS [SEED]`.
 
-By mutation of good datagrams.  Ends with 1 at an exception that is not the codec's own, or where memory grew by more than 16 MB after the first tenth.
+By mutation of good datagrams.  Ends with 1 at an exception that is not the codec's own, or where memory grew by more
+than 16 MB after the first tenth.
 """
 
 from __future__ import annotations
