Exchange emulator: a model of the exchanges, fleets of real controllers on it, a checker

Change: lab/emulator has the processor with one line (stalls, slow spells, warm-up, answers behind set-ups), exchanges that turn away, fall over when cold, drain and are replaced, circuit groups shared by both ends and by transit, callers that redial, incidents as KDL scripts with a library, named random streams, and a checker that reads the record of what crossed the ports alone. Fleets run the real core, table, module and timing policy on one virtual clock.

--- /dev/null
+++ b/lab/emulator/__main__.py
@@ -0,0 +1,121 @@
+"""`python -m lab.emulator incidents|compare|scale`: rehearse incidents, compare two settings, see how it grows."""
+
+from __future__ import annotations
+
+import resource
+import statistics
+import time
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import click
+import numpy as np
+
+from lab.emulator.checker import check
+from lab.emulator.fleet import CLASSES, NAMES, SHOPS, Fleet
+from lab.emulator.incidents import incidents, play
+from ospreyvale.settings.document import DocumentError
+from ospreyvale.settings.timing import policy_in
+from ospreyvale.timing.policy import Site, SiteClass
+
+DURATION_MS = 45_000.0
+DRAWS = 5_000  # of the bootstrap
+SITE = Site(tuple(SiteClass(name, kind.aim_ms, kind.deadline_ms, kind.worth, kind.late_worth)
+                  for name, kind in zip(NAMES, CLASSES, strict=True)), 300.0, 4, 20.0,
+            ("sofia", "plovdiv", "varna"), (), 2, 50.0)
+
+
+def one_run(task: tuple[str, str, int, int, float, str]) -> dict[str, Any]:
+    """One incident, size, seed and setting; in a process of its own."""
+    script, name, seed, size, load, document = task
+    policy = policy_in(document, "setting", SITE) if document else None
+    fleet = Fleet(seed, size, load, policy=policy, site=SITE)
+    play(fleet, incidents(script)[name] if script else incidents()[name])
+    began = time.process_time()
+    fleet.run(DURATION_MS)
+    spent = time.process_time() - began
+    return {"service": fleet.service(), "worst": fleet.worst(), "calls": len(fleet.all), "spent": spent,
+            **{name: fleet.service(lambda one, n=n: one.call_class == n) for n, name in enumerate(NAMES)},  # type: ignore[misc]
+            **{shop: fleet.service(lambda one, n=n: one.shop == n) for n, shop in enumerate(SHOPS)},  # type: ignore[misc]
+            "faults": check(fleet.record.rows), "digest": fleet.record.digest(), "turns": fleet.clock.turns,
+            "memory": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1_024.0}
+
+
+def interval(values: list[float], of: Callable[[Any], Any] = np.mean, seed: int = 1) -> tuple[float, float, float]:
+    """The mean and its 95% interval, by bootstrap (Efron, 1979)."""
+    drawn = np.random.Generator(np.random.Philox(seed))
+    data = np.asarray(values)
+    means = of(data[drawn.integers(0, len(data), (DRAWS, len(data)))], axis=1)  # type: ignore[call-arg]
+    return float(of(data)), float(np.percentile(means, 2.5)), float(np.percentile(means, 97.5))
+
+
+def _runs(tasks: list[tuple[str, str, int, int, float, str]]) -> list[dict[str, Any]]:
+    with ProcessPoolExecutor() as pool:
+        return list(pool.map(one_run, tasks))
+
+
+@click.group(help="Exchanges as a model, real controllers on them, on a virtual clock.")
+def main() -> None:
+    pass
+
+
+@main.command(name="incidents", help="Every incident of the library (or of --script) over some seeds.")
+@click.option("--seeds", default=10, show_default=True)
+@click.option("--size", default=5, show_default=True)
+@click.option("--load", default=0.9, show_default=True)
+@click.option("--script", type=click.Path(path_type=Path, exists=True))
+def all_incidents(seeds: int, size: int, load: float, script: Path | None) -> None:
+    text = script.read_text() if script is not None else ""
+    try:
+        names = list(incidents(text, script.name) if script is not None else incidents())
+    except DocumentError as error:
+        for reason in error.reasons:
+            click.echo(reason, err=True)
+        raise SystemExit(2) from None
+    click.echo("| incident | service (95% interval) | worst 10 s | " + " | ".join([*NAMES, *SHOPS])
+               + " | rules broken |\n" + "| --- " * (4 + len(NAMES) + len(SHOPS)) + "|")
+    for name in names:
+        found = _runs([(text, name, seed, size, load, "") for seed in range(1, seeds + 1)])
+        mean, least, most = interval([run["service"] for run in found])
+        cells = [f"{statistics.mean(run[column] for run in found):.3f}" for column in ("worst", *NAMES, *SHOPS)]
+        click.echo(f"| {name} | {mean:.3f} ({least:.3f} to {most:.3f}) | " + " | ".join(cells)
+                   + f" | {sum(len(run['faults']) for run in found)} |")
+        for run in found:
+            for fault in run["faults"][:3]:
+                click.echo(f"  {fault}", err=True)
+
+
+@main.command(help="One setting against another, paired by seed: a timing document against none, or against another.")
+@click.argument("first", type=click.Path(path_type=Path))
+@click.argument("second", type=click.Path(path_type=Path))
+@click.option("--incident", default="calm", show_default=True)
+@click.option("--seeds", default=20, show_default=True)
+@click.option("--size", default=5, show_default=True)
+@click.option("--load", default=0.9, show_default=True)
+def compare(first: Path, second: Path, incident: str, seeds: int, size: int, load: float) -> None:
+    """`-` stands for no document."""
+    texts = ["" if str(path) == "-" else path.read_text() for path in (first, second)]
+    found = [_runs([("", incident, seed, size, load, text) for seed in range(1, seeds + 1)]) for text in texts]
+    for column in ("service", "worst", *NAMES):
+        gains = [then[column] - now[column] for now, then in zip(*found, strict=True)]
+        mean, least, most = interval(gains)
+        verdict = "no verdict" if least <= 0.0 <= most else "better" if mean > 0.0 else "worse"
+        click.echo(f"{column}: {mean:+.4f} ({least:+.4f} to {most:+.4f}) over {seeds} seeds: {verdict}")
+
+
+@main.command(help="Time and memory by size.")
+@click.option("--sizes", default="1,2,4,8,16,32,64", show_default=True)
+def scale(sizes: str) -> None:
+    click.echo("| controllers and exchanges | calls | events | processor s | times real time | MiB |\n"
+               + "| --- " * 6 + "|")
+    for size in map(int, sizes.split(",")):
+        with ProcessPoolExecutor(1) as pool:  # a process of its own, for the memory
+            run = pool.submit(one_run, ("", "calm", 1, size, 0.8, "")).result()
+        click.echo(f"| {size} | {run['calls']:,} | {run['turns']:,} | {run['spent']:.1f} "
+                   f"| {(DURATION_MS + 120_000.0) / 1_000.0 / run['spent']:.0f} | {run['memory']:.0f} |")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lab/emulator/incidents.py
@@ -0,0 +1,180 @@
+"""Incidents as scripts in KDL, and a library of named ones.
+
+    incident "half-die" {
+        at "12s" controllers share=0.48 away="4s"
+        at "15s" stall exchange=3 for="8s"
+    }
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lab.emulator.fleet import Fleet
+from ospreyvale.routing import interface as i
+from ospreyvale.routing.stages.relay import End
+from ospreyvale.settings.document import DocumentError, Reader, parse
+
+_TIME = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)\Z")
+
+LIBRARY = """
+incident "calm" {
+}
+incident "half-die" { // 48% of controllers die at once and come back with nothing
+    at "12s" controllers share=0.48 away="4s"
+}
+incident "cold-at-peak" { // an exchange is replaced by a cold one
+    at "14s" replace exchange=1
+}
+incident "stall-and-cold" { // a stall of one overlaps a cold start of another
+    at "12s" stall exchange=2 for="8s"
+    at "15s" replace exchange=1
+}
+incident "cut" { // half of the calls that stand are cut
+    at "15s" cut share=0.5
+}
+incident "rolling" { // one after the other drains, stops and is replaced
+    at "8s" drain exchange=1
+    at "12s" replace exchange=1
+    at "16s" drain exchange=2
+    at "20s" replace exchange=2
+    at "24s" drain exchange=3
+    at "28s" replace exchange=3
+}
+incident "late-bus" { // the list is 7 s late while an exchange is replaced
+    at "2s" bus late="7s"
+    at "10s" replace exchange=2
+}
+incident "slow" { // a third of the exchanges are 2.5 times slower
+    at "10s" slow exchange=1 times=2.5 for="15s"
+    at "10s" slow exchange=2 times=2.5 for="15s"
+}
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One thing that happens, in milliseconds from the run's beginning."""
+
+    at_ms: float
+    text: str
+    act: Callable[[Fleet], None]
+
+
+def incidents(text: str = LIBRARY, file: str = "library") -> dict[str, list[Step]]:
+    """The scripts of a document; DocumentError with every reason."""
+    top, problems = parse(text, file)
+    found: dict[str, list[Step]] = {}
+    for node in top.children("incident"):
+        name = node.argument("a name")
+        if not isinstance(name, str) or name in found:
+            node.refuse("has no name of its own")
+            continue
+        found[name] = [step for child in node.children("at") if (step := _step(child)) is not None]
+        node.done()
+    top.done()
+    problems.refuse()
+    return found
+
+
+def play(fleet: Fleet, steps: list[Step]) -> None:
+    """Have it all happen in its time."""
+    began = fleet.clock.now
+    for step in steps:
+        fleet.clock.at(began + step.at_ms, lambda step=step: _happen(fleet, step))  # type: ignore[misc]
+
+
+def _happen(fleet: Fleet, step: Step) -> None:
+    fleet.record("incident", -1, 0, step.text)
+    step.act(fleet)
+
+
+def _step(node: Reader) -> Step | None:
+    at, what = _time(node, node.argument("a time, as \"12s\"")), node.argument("what happens")
+    act: Callable[[Fleet], None] | None = None
+    match what:
+        case "controllers":
+            share, away = node.number("share", 0.0, 1.0), _time(node, node.text("away", "0s"))
+            act = lambda fleet: _die(fleet, share, away)  # noqa: E731
+        case "stall":
+            one, long = node.whole("exchange", 0, 255), _time(node, node.text("for"))
+            act = lambda fleet: fleet.exchanges[one].processor.change(  # noqa: E731
+                stalled_until=fleet.clock.now + long)
+        case "slow":
+            one, times, long = node.whole("exchange", 0, 255), node.number("times", 1.0, 100.0), _time(
+                node, node.text("for"))
+            act = lambda fleet: _slow(fleet, one, times, long)  # noqa: E731
+        case "replace":
+            one = node.whole("exchange", 0, 255)
+            act = lambda fleet: _replace(fleet, one)  # noqa: E731
+        case "drain":
+            one = node.whole("exchange", 0, 255)
+            act = lambda fleet: _drain(fleet, one)  # noqa: E731
+        case "cut":
+            share = node.number("share", 0.0, 1.0)
+            act = lambda fleet: _cut(fleet, share)  # noqa: E731
+        case "bus":
+            late = _time(node, node.text("late"))
+            act = lambda fleet: setattr(fleet, "bus_ms", late)  # noqa: E731
+        case _:
+            node.refuse("is nothing that happens; allowed: controllers, stall, slow, replace, drain, cut, bus")
+    node.done()
+    return Step(at, f"{what} {dict(node.node.properties)}", act) if act is not None else None
+
+
+def _time(node: Reader, text: str | int | None) -> float:
+    found = _TIME.match(text) if isinstance(text, str) else None
+    if found is None:
+        node.refuse(f'"{text}" is not a time; allowed: as "12s" or "300ms"')
+        return 0.0
+    return float(found[1]) * (1_000.0 if found[2] == "s" else 1.0)
+
+
+def _die(fleet: Fleet, share: float, away_ms: float) -> None:
+    count = round(share * fleet.size)
+    drawn = fleet.streams["incidents"]
+    up = [one for one in fleet.controllers if one.up]
+    for _ in range(min(count, len(up))):
+        one = up.pop(int(drawn.uniform() * len(up)))
+        one.end()
+        fleet.clock.at(fleet.clock.now + away_ms, one.begin)
+
+
+def _slow(fleet: Fleet, number: int, times: float, long_ms: float) -> None:
+    processor = fleet.exchanges[number].processor
+    processor.change(slow=times)
+    fleet.clock.at(fleet.clock.now + long_ms, lambda: processor.change(slow=1.0))
+
+
+def _drain(fleet: Fleet, number: int) -> None:
+    one = fleet.exchanges[number]
+    fleet.drains[one.address] = i.Exchange(number, one.address, i.Condition.DRAINING, one.started_ms, one.zone)
+    fleet.publish()
+
+
+def _replace(fleet: Fleet, number: int) -> None:
+    """Another machine, cold: what stood through the one before is cut."""
+    one = fleet.exchanges[number]
+    before = one.address
+    fleet.by_address.pop(before, None)
+    fleet.drains.pop(before, None)
+    one.replace()
+    fleet.by_address[one.address] = one
+    for controller in fleet.controllers:
+        for leg in list(controller.legs.values()):
+            if leg.address == before:
+                fleet.ends(leg, End(i.Outcome.RESET))
+    fleet.publish()
+
+
+def _cut(fleet: Fleet, share: float) -> None:
+    drawn = fleet.streams["incidents"]
+    for controller in fleet.controllers:
+        for leg in list(controller.legs.values()):
+            if leg.state == "stands" and drawn.uniform() < share:
+                fleet.ends(leg, End(i.Outcome.RESET))
+
+
+__all__ = ["LIBRARY", "DocumentError", "incidents", "play"]
--- /dev/null
+++ b/lab/fuzz_guided.py
@@ -0,0 +1,32 @@
+"""Fuzzing of both datagram codecs guided by coverage, by hand: `python -m lab.fuzz_guided SECONDS [SEED]`.
+
+It needs atheris (`pip install atheris==3.0.0`), which no other part does and CI does not install.
+"""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+from pathlib import Path
+
+
+def main() -> None:
+    import atheris
+
+    with atheris.instrument_imports(include=["ospreyvale.protocol", "ospreyvale.devices", "cbor2"]):
+        from lab.fuzz import good, take
+
+    seconds, seed = sys.argv[1], sys.argv[2] if len(sys.argv) > 2 else "1"
+    with tempfile.TemporaryDirectory() as folder:
+        for place, data in enumerate(good()):
+            (Path(folder) / f"seed-{place}").write_bytes(data)
+        def one(data: bytes) -> None:
+            take(data)
+
+        atheris.Setup([sys.argv[0], f"-max_total_time={seconds}", f"-seed={seed}", "-max_len=1400",
+                       "-rss_limit_mb=1024", "-print_final_stats=1", folder], one)
+        atheris.Fuzz()
+
+
+if __name__ == "__main__":
+    main()
