Experiments on the emulator: plans in KDL over all cores, resumable, paired verdicts, a report

Change: lab/emulator/experiment runs settings x incidents x sizes x loads x seeds, each finished run a row of an SQLite file under the digest of its setting and the code's revision; differences paired by seed with bootstrap intervals, a verdict only where zero is outside; charts as SVG and PNG and one HTML page. Result: a plan killed after 5 of 16 runs repeats none of them.

--- a/lab/emulator/__main__.py
+++ b/lab/emulator/__main__.py
@@ -4,6 +4,7 @@
 
 import resource
 import statistics
+import sys
 import time
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
@@ -13,10 +14,12 @@
 import click
 import numpy as np
 
+from lab.emulator import experiment as experiments
+from lab.emulator import report
 from lab.emulator.checker import check
 from lab.emulator.fleet import CLASSES, NAMES, SHOPS, Fleet
 from lab.emulator.incidents import incidents, play
-from ospreyvale.settings.document import DocumentError
+from ospreyvale.settings.document import DocumentError, read
 from ospreyvale.settings.timing import policy_in
 from ospreyvale.timing.policy import Site, SiteClass
 
@@ -32,7 +35,7 @@
     script, name, seed, size, load, document = task
     policy = policy_in(document, "setting", SITE) if document else None
     fleet = Fleet(seed, size, load, policy=policy, site=SITE)
-    play(fleet, incidents(script)[name] if script else incidents()[name])
+    play(fleet, (incidents() | (incidents(script) if script else {}))[name])
     began = time.process_time()
     fleet.run(DURATION_MS)
     spent = time.process_time() - began
@@ -105,6 +108,35 @@
         click.echo(f"{column}: {mean:+.4f} ({least:+.4f} to {most:+.4f}) over {seeds} seeds: {verdict}")
 
 
+@main.command(help="Run an experiment's plan; one that was killed goes on where it was.")
+@click.argument("plan", type=click.Path(path_type=Path))
+@click.option("--out", type=click.Path(path_type=Path, file_okay=False), default=Path("results"), show_default=True)
+def experiment(plan: Path, out: Path) -> None:
+    from rich.console import Console
+    from rich.progress import Progress
+
+    try:
+        made = experiments.plan_of(read(plan), plan.name, plan.parent)
+    except DocumentError as error:
+        for reason in error.reasons:
+            click.echo(reason, err=True)
+        raise SystemExit(2) from None
+    out.mkdir(parents=True, exist_ok=True)
+    store, revision = experiments.Store(out / "runs.sqlite"), experiments.revision(Path(__file__).parent)
+    with Progress(disable=not sys.stderr.isatty(), console=Console(stderr=True)) as bar:
+        line = bar.add_task(made.name)
+        ran = experiments.run(made, store, revision, one_run, lambda done, total: bar.update(
+            line, completed=done, total=total))
+    results = store.results(made, revision)
+    found = list(experiments.paired(made, results, interval))
+    pictures = report.chart(made, results, out)
+    (out / f"{made.name}.html").write_text(report.page(made, revision, results, found, pictures[-1]))
+    text = (report.markdown(report.MEANS_HEAD, report.means(made, results)) + "\n"
+            + report.markdown(report.GAINS_HEAD, report.gains(found)))
+    (out / f"{made.name}.md").write_text(text)
+    click.echo(f"{ran} runs made, {len(results)} in all\n\n{text}", nl=False)
+
+
 @main.command(help="Time and memory by size.")
 @click.option("--sizes", default="1,2,4,8,16,32,64", show_default=True)
 def scale(sizes: str) -> None:
--- /dev/null
+++ b/lab/emulator/experiment.py
@@ -0,0 +1,232 @@
+"""Experiments: settings x incidents x sizes x loads x seeds, from a plan in KDL, over all cores.
+
+    experiment "waits" seeds=20 duration="45s" {
+        setting "none"
+        setting "planned" timing="planned.kdl"
+        incident "calm"
+        incident "stall-and-cold"
+        size 5
+        load 0.9
+        baseline "none"
+    }
+
+Each finished run is one row of an SQLite file, written in a transaction of its own: a plan that was killed goes on
+from there and repeats none.  A row holds what the run was made of (the plan's parts, the digest of the setting, the
+revision of the code), so that rows of another setting or revision never count for this one.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import sqlite3
+import subprocess
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from lab.emulator.incidents import incidents
+from ospreyvale.settings.document import DocumentError, Reader, parse, read
+
+COLUMNS = ("service", "worst", "stock-check", "item-hold", "moda-rila", "obuvki-struma", "detski-dom")
+RUNS_MOST = 100_000
+SCHEMA = """
+CREATE TABLE IF NOT EXISTS run (
+    experiment TEXT NOT NULL, setting TEXT NOT NULL, digest TEXT NOT NULL, revision TEXT NOT NULL,
+    incident TEXT NOT NULL, size INTEGER NOT NULL, load REAL NOT NULL, seed INTEGER NOT NULL, results TEXT NOT NULL,
+    PRIMARY KEY (experiment, setting, digest, revision, incident, size, load, seed)) WITHOUT ROWID;
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Task:
+    """One run."""
+
+    setting: str
+    document: str
+    incident: str
+    size: int
+    load: float
+    seed: int
+
+    @property
+    def digest(self) -> str:
+        return hashlib.sha256(self.document.encode()).hexdigest()[:16]
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What is to be run."""
+
+    name: str
+    seeds: int
+    settings: dict[str, str]  # documents by name
+    script: str  # of incidents beside the library
+    incidents: tuple[str, ...]
+    sizes: tuple[int, ...]
+    loads: tuple[float, ...]
+    baseline: str
+
+    def tasks(self) -> Iterator[Task]:
+        """All runs; those of one seed lie together, so that an experiment that is cut short has whole pairs."""
+        for seed in range(1, self.seeds + 1):
+            for incident in self.incidents:
+                for size in self.sizes:
+                    for load in self.loads:
+                        for name, document in self.settings.items():
+                            yield Task(name, document, incident, size, load, seed)
+
+
+def plan_of(text: str, file: str, folder: Path) -> Plan:
+    """The plan in a document; DocumentError with every reason."""
+    top, problems = parse(text, file)
+    node = top.child("experiment")
+    if node is None:
+        raise DocumentError([f"{file}: has no experiment node"])
+    name = node.argument("a name")
+    seeds = node.whole("seeds", 2, 10_000, 20)
+    script = read(folder / node.text("script")) if node.has("script") else ""
+    settings = {}
+    for child in node.children("setting"):
+        called = child.argument("a name")
+        document = child.text("timing", "-")
+        child.done()
+        if not isinstance(called, str) or called in settings:
+            child.refuse("has no name of its own")
+        else:
+            settings[called] = "" if document == "-" else read(folder / document)
+    known = {**incidents(), **(incidents(script, "script") if script else {})}
+    chosen = [_named(child, "an incident") for child in node.children("incident")]
+    for one in chosen:
+        if one not in known:
+            node.refuse(f'incident "{one}" is not known; allowed: {", ".join(known)}')
+    sizes = tuple(int(_number(child, 1, 256)) for child in node.children("size")) or (5,)
+    loads = tuple(_number(child, 0.05, 5.0) for child in node.children("load")) or (0.9,)
+    first = node.child("baseline")
+    baseline = _named(first, "a setting") if first is not None else next(iter(settings), "")
+    if baseline not in settings:
+        node.refuse(f'baseline "{baseline}" is not a setting; allowed: {", ".join(settings) or "none"}')
+    node.done()
+    top.done()
+    plan = Plan(str(name), seeds, settings, script, tuple(chosen) or ("calm",), sizes, loads, baseline)
+    if sum(1 for _ in zip(range(RUNS_MOST + 1), plan.tasks(), strict=False)) > RUNS_MOST:
+        node.refuse(f"has more than {RUNS_MOST:,} runs")
+    problems.refuse()
+    return plan
+
+
+def _named(node: Reader, what: str) -> str:
+    name = node.argument(what)
+    node.done()
+    return str(name)
+
+
+def _number(node: Reader, least: float, most: float) -> float:
+    value: object = node.node.args[0] if node.node.args else None
+    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= most:
+        node.refuse(f"{value} stands where a number from {least:g} to {most:g} is allowed")
+        return least
+    return float(value)
+
+
+def revision(folder: Path) -> str:
+    """The code's own revision, with a digest of what is not committed."""
+    def git(*words: str) -> str:
+        return subprocess.run(["git", *words], cwd=folder, capture_output=True, text=True, check=False).stdout
+
+    changed = git("diff", "HEAD", "--", "ospreyvale", "lab")
+    return git("rev-parse", "--short=12", "HEAD").strip() + (
+        "+" + hashlib.sha256(changed.encode()).hexdigest()[:8] if changed else "")
+
+
+class Store:
+    """Finished runs in one SQLite file."""
+
+    def __init__(self, path: Path) -> None:
+        self.base = sqlite3.connect(path, isolation_level=None)
+        self.base.execute("PRAGMA journal_mode=WAL")
+        self.base.executescript(SCHEMA)
+
+    def done(self, plan: Plan, revision: str) -> set[tuple[str, str, str, int, float, int]]:
+        """What need not be run again."""
+        return set(self.base.execute(
+            "SELECT setting, digest, incident, size, load, seed FROM run WHERE experiment = ? AND revision = ?",
+            (plan.name, revision)))
+
+    def add(self, plan: Plan, revision: str, task: Task, results: dict[str, Any]) -> None:
+        self.base.execute("INSERT OR IGNORE INTO run VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?)", (
+            plan.name, task.setting, task.digest, revision, task.incident, task.size, task.load, task.seed,
+            json.dumps(results)))
+
+    def results(self, plan: Plan, revision: str) -> dict[Task, dict[str, Any]]:
+        """The rows of this plan, by task."""
+        wanted = {(task.setting, task.digest, task.incident, task.size, task.load, task.seed): task
+                  for task in plan.tasks()}
+        return {wanted[tuple(row[:6])]: json.loads(row[6]) for row in self.base.execute(
+            "SELECT setting, digest, incident, size, load, seed, results FROM run WHERE experiment = ? "
+            "AND revision = ?", (plan.name, revision)) if tuple(row[:6]) in wanted}
+
+
+def key(task: Task) -> tuple[str, str, str, int, float, int]:
+    return task.setting, task.digest, task.incident, task.size, task.load, task.seed
+
+
+def run(plan: Plan, store: Store, revision: str, act: Callable[[Any], dict[str, Any]],
+        told: Callable[[int, int], None], workers: int | None = None) -> int:
+    """Run what is not done yet; gives how many that were.  `told` hears of progress: done, and in all."""
+    done = store.done(plan, revision)
+    left = [task for task in plan.tasks() if key(task) not in done]
+    total, finished = len(left) + len(done), len(done)
+    told(finished, total)
+    with ProcessPoolExecutor(workers) as pool:
+        waiting = {pool.submit(act, (plan.script, task.incident, task.seed, task.size, task.load, task.document)): task
+                   for task in left}
+        for future in as_completed(waiting):
+            store.add(plan, revision, waiting[future], future.result())
+            finished += 1
+            told(finished, total)
+    return len(left)
+
+
+@dataclass(frozen=True, slots=True)
+class Paired:
+    """One setting against the baseline, paired by seed."""
+
+    setting: str
+    incident: str
+    size: int
+    load: float
+    column: str
+    pairs: int
+    gain: float
+    least: float
+    most: float
+
+    @property
+    def verdict(self) -> str:
+        """Only where the interval excludes zero."""
+        if self.least <= 0.0 <= self.most:
+            return "no verdict"
+        return "better" if self.gain > 0.0 else "worse"
+
+
+def paired(plan: Plan, results: dict[Task, dict[str, Any]],
+           interval: Callable[[list[float]], tuple[float, float, float]]) -> Iterator[Paired]:
+    """Every setting but the baseline, by incident, size and load; at least two pairs."""
+    by: dict[tuple[str, int, float, int], dict[str, dict[str, Any]]] = {}
+    for task, found in results.items():
+        by.setdefault((task.incident, task.size, task.load, task.seed), {})[task.setting] = found
+    for setting in plan.settings:
+        if setting == plan.baseline:
+            continue
+        for incident in plan.incidents:
+            for size in plan.sizes:
+                for load in plan.loads:
+                    rows = [both for (i, s, x, _), both in by.items() if (i, s, x) == (incident, size, load)
+                            and setting in both and plan.baseline in both]
+                    for column in COLUMNS if len(rows) > 1 else ():
+                        gain, least, most = interval([both[setting][column] - both[plan.baseline][column]
+                                                      for both in rows])
+                        yield Paired(setting, incident, size, load, column, len(rows), gain, least, most)
--- /dev/null
+++ b/tests/test_emulator_experiment.py
@@ -0,0 +1,97 @@
+"""Experiments: plans, what a kill leaves, pairs and verdicts, and the report."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from lab.emulator import report
+from lab.emulator.__main__ import interval
+from lab.emulator.experiment import COLUMNS, Plan, Store, paired, plan_of, run
+from ospreyvale.settings.document import DocumentError
+
+TEXT = """experiment "two" seeds=4 {
+    setting "none"; setting "other" timing="other.kdl"
+    incident "calm"; incident "cut"
+    baseline "none"
+}"""
+
+
+def made(folder: Path) -> Plan:
+    (folder / "other.kdl").write_text("timing {}")
+    return plan_of(TEXT, "plan.kdl", folder)
+
+
+def result(task: tuple[Any, ...]) -> dict[str, Any]:
+    """What a run would give: the other setting gains a little in `cut`, by seed, and nothing in `calm`."""
+    _, incident, seed, _, _, document = task
+    gain = (0.01 + 0.001 * seed) if document and incident == "cut" else (0.001 * (seed % 2 or -1) if document else 0.0)
+    return {column: 0.9 + 0.002 * seed + gain for column in COLUMNS} | {"faults": []}
+
+
+class Killed(RuntimeError):
+    """The plan's process ends."""
+
+
+def test_a_plan_that_was_killed_goes_on_and_repeats_no_run(tmp_path: Path) -> None:
+    plan, store = made(tmp_path), Store(tmp_path / "runs.sqlite")
+
+    def told(done: int, total: int) -> None:
+        assert total == 16
+        if done == 5:
+            raise Killed
+
+    with pytest.raises(Killed):
+        run(plan, store, "r1", result, told, workers=1)
+    store.base.close()
+    store = Store(tmp_path / "runs.sqlite")
+    left = 16 - len(store.done(plan, "r1"))
+    assert 0 < left <= 11
+    assert run(plan, store, "r1", result, lambda done, total: None, workers=1) == left
+    assert run(plan, store, "r1", result, lambda done, total: None, workers=1) == 0
+    assert len(store.results(plan, "r1")) == 16 and store.results(plan, "r2") == {}
+    (tmp_path / "other.kdl").write_text("timing { }")  # another setting under the same name
+    changed = plan_of(TEXT, "plan.kdl", tmp_path)
+    assert len(store.done(changed, "r1")) == 16 and len(store.results(changed, "r1")) == 8
+
+
+def test_pairs_by_seed_and_a_verdict_only_where_the_interval_excludes_zero(tmp_path: Path) -> None:
+    plan, store = made(tmp_path), Store(tmp_path / "runs.sqlite")
+    run(plan, store, "r1", result, lambda done, total: None, workers=1)
+    found = list(paired(plan, store.results(plan, "r1"), interval))
+    assert len(found) == 2 * len(COLUMNS) and {one.pairs for one in found} == {4}
+    assert {one.verdict for one in found if one.incident == "calm"} == {"no verdict"}
+    assert {one.verdict for one in found if one.incident == "cut"} == {"better"}
+    assert all(one.gain == pytest.approx(0.0125) for one in found if one.incident == "cut")
+    pictures = report.chart(plan, store.results(plan, "r1"), tmp_path)
+    assert [path.suffix for path in pictures] == [".svg", ".png"]
+    assert all(path.stat().st_size > 5_000 for path in pictures)
+    again = pictures[0].read_bytes()
+    assert report.chart(plan, store.results(plan, "r1"), tmp_path)[0].read_bytes() == again
+    page = report.page(plan, "r1", store.results(plan, "r1"), found, pictures[1])
+    assert "no verdict" in page and 'class="better"' in page and "data:image/png" in page
+    text = report.markdown(report.MEANS_HEAD, report.means(plan, store.results(plan, "r1")))
+    assert text.count("\n") == 2 + 4
+
+
+def test_an_interval_holds_the_mean_and_shrinks_with_more_runs() -> None:
+    few, many = interval([0.0, 1.0] * 5), interval([0.0, 1.0] * 200)
+    for mean, least, most in (few, many):
+        assert least < mean == 0.5 < most
+    assert many[2] - many[1] < few[2] - few[1]
+
+
+@pytest.mark.parametrize(("text", "reason"), [
+    ("", "has no experiment node"), ('experiment "x" seeds=1 { setting "a"; }', "seeds is 1; allowed"),
+    ('experiment "x" { setting "a"; incident "flood"; }', 'incident "flood" is not known; allowed: calm'),
+    ('experiment "x" { setting "a"; baseline "b"; }', 'baseline "b" is not a setting; allowed: a'),
+    ('experiment "x" { setting "a"; setting "a"; }', "has no name of its own"),
+    ('experiment "x" { setting "a"; size 0; }', "0 stands where a number from 1 to 256 is allowed"),
+    ('experiment "x" { setting "a" timing="none.kdl"; }', "none.kdl: cannot be read"),
+    ('experiment "x" seeds=10000 { setting "a";' + "size 5;" * 11 + "}", "has more than 100,000 runs")])
+def test_a_wrong_plan_is_refused(tmp_path: Path, text: str, reason: str) -> None:
+    with pytest.raises(DocumentError) as caught:
+        plan_of(text, "plan.kdl", tmp_path)
+    assert any(reason in line for line in caught.value.reasons), caught.value.reasons
