Devices: the limit on a device's bytes is kept, and its calls can still be ended

Seen in the code: bytes-device was read and never asked. A device beyond it now has its new requests refused with a time to stay away; acknowledgements, cancels and releases are taken all the same. The test fails without it.

--- a/ospreyvale/devices/counter.py
+++ b/ospreyvale/devices/counter.py
@@ -153,6 +153,7 @@
             self.counters["device_paths_new"] += 1
         path.heard(now, size)
         self.sessions.heard(session, now)
+        affords = self.desk.brings(session, size)
         if datagram.kind is Kind.PATH_BACK:
             if path.probe and datagram.get(Field.PROBE) == path.probe:
                 path.proved, path.probe = True, b""
@@ -161,20 +162,20 @@
         elif datagram.kind is Kind.ACK:
             self.desk.acknowledged(session, datagram.get(Field.NUMBER), path)
         elif datagram.kind is Kind.CON:
-            self._operate(session, path, datagram)
+            self._operate(session, path, datagram, affords)
         if not path.proved and not path.probe:
             path.probe = self.random(ID_BYTES)
         if not path.proved:
             self._say(session, path, Kind.PATH, {Field.PROBE: path.probe})
         session.trim(now)
 
-    def _operate(self, session: Session, path: Path, datagram: Datagram) -> None:
+    def _operate(self, session: Session, path: Path, datagram: Datagram, affords: bool) -> None:
         """One operation; it is acknowledged whatever it comes to, and with its answer where there is one."""
         request, answer = datagram.get(Field.REQUEST), None
         match datagram.op:
             case Op.CALL:
                 ask = self._ask(datagram)
-                answer = Finished(b"", 3) if ask is None else self.desk.request(session, path, ask)
+                answer = Finished(b"", 3) if ask is None else self.desk.request(session, path, ask, affords)
                 if ask is None:
                     self.counters["device_calls_malformed"] += 1
             case Op.CANCEL:
--- a/ospreyvale/devices/desk.py
+++ b/ospreyvale/devices/desk.py
@@ -110,8 +110,21 @@
 
     # ---- from the wires ----
 
-    def request(self, session: Session, path: Path, ask: Ask) -> Finished | None:
-        """A request; its answer where that is known, else it comes through the outbox."""
+    def brings(self, session: Session, size: int) -> bool:
+        """A device has said so many bytes; False beyond its limit: its new requests are refused for that."""
+        if session.buckets is None:
+            session.buckets = (Bucket(self.clock.now, self.limits.requests_device),
+                               Bucket(self.clock.now, self.limits.bytes_device))
+        if session.buckets[1].take(self.clock.now, self.limits.bytes_device, size):
+            return True
+        self.counters["device_bytes_limited"] += 1
+        return False
+
+    def request(self, session: Session, path: Path, ask: Ask, affords: bool = True) -> Finished | None:
+        """A request; its answer where that is known, else it comes through the outbox.
+
+        `affords`: whether its bytes were within the device's limit.
+        """
         now = self.clock.now
         self.index.turn(now)
         key = fingerprint(self.epoch, session.device, ask.request)
@@ -119,7 +132,7 @@
         if known is not None:
             return self._again(known, ask)
         left = ask.patience_ms - ask.age_ms - path.rtt.one_way()
-        refused = self._limited(session, left)
+        refused = self._limited(session, left, affords)
         if refused is not None:
             return self._finish_new(key, ask, refused)
         request = Request(session, ask, key, ask.content, now + left)
@@ -251,16 +264,17 @@
             return Finished(ask.content, CONFLICT)
         return known if isinstance(known, Finished) else known.answer
 
-    def _limited(self, session: Session, left: float) -> Finished | None:
+    def _limited(self, session: Session, left: float, affords: bool) -> Finished | None:
         """An answer for what is beyond a limit, or too late."""
         now, limits = self.clock.now, self.limits
         if left <= 0.0:
             return Finished(b"", FAILED)
         if self.away is not None and self.away[0] <= 0.0:
             return Finished(b"", REFUSED, 2_000)
-        if session.buckets is None:
-            session.buckets = Bucket(now, limits.requests_device), Bucket(now, limits.bytes_device)
-        for bucket, rate in ((session.buckets[0], limits.requests_device), (self.whole, limits.requests)):
+        if not affords:
+            return Finished(b"", REFUSED, 1_000)
+        own = session.buckets[0] if session.buckets is not None else Bucket(now, limits.requests_device)
+        for bucket, rate in ((own, limits.requests_device), (self.whole, limits.requests)):
             if not bucket.take(now, rate):
                 self.counters["device_requests_limited"] += 1
                 return Finished(b"", REFUSED, math.ceil(bucket.wait_ms(rate)))
--- a/ospreyvale/devices/sip.py
+++ b/ospreyvale/devices/sip.py
@@ -177,9 +177,10 @@
                 del self.flows[next(iter(self.flows))]
         path.heard(now, size)
         self.sessions.heard(session, now)
+        affords = self.desk.brings(session, size)
         match message.method:
             case "INVITE":
-                self._invite(session, path, message, key)
+                self._invite(session, path, message, key, affords)
             case "CANCEL":
                 self._cancel(session, path, message, key)
             case "BYE":
@@ -205,7 +206,8 @@
         elif self.strangers.may_hear(self.clock.now, address):
             self.send(address, data)
 
-    def _invite(self, session: Session, path: Path, message: sip.Message, key: tuple[str, str]) -> None:
+    def _invite(self, session: Session, path: Path, message: sip.Message, key: tuple[str, str],
+                affords: bool) -> None:
         request, name = self._id(message), (session.device, self._id(message))
         invite = _Invite(tagged(message, self.random(4).hex()), ServerInvite(
             self.clock, lambda data: self._transmit(path, data), lambda: self._forget(key, name, path.address),
@@ -214,7 +216,7 @@
         self.by_request.setdefault(name, {})[path.address] = invite
         invite.machine.respond(100, sip.response(message, 100))
         ask = self._ask(request, message)
-        answer = Finished(b"", FAILED) if ask is None else self.desk.request(session, path, ask)
+        answer = Finished(b"", FAILED) if ask is None else self.desk.request(session, path, ask, affords)
         if ask is None:
             self.counters["device_calls_malformed"] += 1
         if answer is not None:
--- a/tests/test_devices.py
+++ b/tests/test_devices.py
@@ -388,6 +388,25 @@
     assert world.faults() == []
 
 
+def test_a_device_that_says_too_much_is_refused_and_can_still_end_its_calls() -> None:
+    world = attached(limits=Limits(bytes_device=600.0), behave=lambda order: ("answer", 10.0))
+    phone = world.phones[0]
+    world.run(2_000.0)
+    first = phone.call("item-hold", 2, 1_800.0)
+    world.run(100.0)
+    for _ in range(20):
+        phone._con({Field.OP: Op.PING})
+    second = phone.call("item-hold", 2, 1_800.0)
+    phone.hang_up(first)
+    world.run(300.0)
+    assert [one.answers[0][1] for one in (first, second)] == ["stands", "refused"]
+    assert world.counters["device_bytes_limited"] > 0 and world.rig.stands == {}
+    world.run(3_000.0)
+    third = phone.call("item-hold", 2, 1_800.0)
+    world.run(300.0)
+    assert third.answers[0][1] == "stands"
+
+
 def test_the_clock_stepping_back_breaks_nothing() -> None:
     world = attached(POOR)
     phone = world.phones[0]
