Devices: a SIP flow takes the place of the one that was registered under its reg-id

Need: RFC 5626 flows are told apart by instance and reg-id; the number was echoed and not looked at. Change: a REGISTER from another address under the same reg-id ends the old flow; another number is another flow.

--- a/ospreyvale/devices/sessions.py
+++ b/ospreyvale/devices/sessions.py
@@ -27,7 +27,7 @@
 class Path:
     """One way to a device: a wire and an address (of a stream: its connection's number)."""
 
-    __slots__ = ("address", "asked_at", "came", "heard_at", "pace", "probe", "proved", "rtt", "went", "wire")
+    __slots__ = ("address", "asked_at", "came", "heard_at", "pace", "probe", "proved", "reg_id", "rtt", "went", "wire")
 
     def __init__(self, wire: str, address: Address, now: float, proved: bool) -> None:
         self.wire, self.address, self.proved = wire, address, proved
@@ -35,6 +35,7 @@
         self.rtt = Rtt()
         self.heard_at, self.asked_at = now, math.inf  # asked: the oldest that was said and not acknowledged
         self.probe = b""
+        self.reg_id = 0  # of a SIP flow (RFC 5626): another one of that number takes its place; 0: none
         self.pace = 4  # what may be out unacknowledged
 
     def room(self, size: int) -> bool:
--- a/ospreyvale/devices/sip.py
+++ b/ospreyvale/devices/sip.py
@@ -33,6 +33,7 @@
 STATUS = {STANDS: 200, REFUSED: 503, FAILED: 504, GIVEN_UP: 487, CONFLICT: 409}
 _PROOF = re.compile(r"([A-Za-z0-9._:@-]{1,64});key=([0-9]{1,3});epoch=([0-9a-f]{16});cookie=([0-9a-f]{16});"
                     r"count=([0-9]{1,10});proof=([0-9a-f]{32})\Z")
+_FLOW = re.compile(r";\s*reg-id\s*=\s*([1-9][0-9]{0,8})")
 Send = Callable[[Address, bytes], None]
 
 
@@ -187,6 +188,7 @@
                 heard = self.desk.hang_up(session, self._id(message), self._epoch(message))
                 self._answer_other(session, path, message, key, 200 if heard else 481)
             case "REGISTER":
+                self._flow(session, path, message.header("contact"))
                 self._answer_other(session, path, message, key, 200)
                 self.desk.arrived(session)
             case "OPTIONS":
@@ -194,6 +196,18 @@
             case _:
                 self._answer_other(session, path, message, key, 501)
 
+    def _flow(self, session: Session, path: Path, contact: str) -> None:
+        """RFC 5626, 6: a flow takes the place of the one that the instance registered under that reg-id before."""
+        found = _FLOW.search(contact)
+        if found is None or "+sip.instance" not in contact:
+            return
+        path.reg_id = int(found[1])
+        for other in list(session.paths):
+            if other is not path and (other.wire, other.reg_id) == (path.wire, path.reg_id):
+                session.paths.remove(other)
+                self.flows.pop(other.address, None)
+                self.counters["device_flows_replaced"] += 1
+
     def _challenge(self, address: Address, message: sip.Message, size: int) -> None:
         """401 with the epoch and a cookie, for whoever hears there: nothing is kept for it."""
         cookie = self.strangers.cookie(self.clock.now, address)
--- a/tests/test_devices_sip.py
+++ b/tests/test_devices_sip.py
@@ -281,6 +281,21 @@
     assert [(to, size) for _, to, size in world.down[before:]] == [(here, len(PONG))]
 
 
+def test_a_flow_takes_the_place_of_the_one_with_its_reg_id() -> None:
+    """RFC 5626: the device registers anew from another address; a second reg-id would be a second flow."""
+    world = flows(Impairment(moves=(4_000.0,)))
+    (session,) = world.edge.sessions.by_device.values()
+    assert [(path.address[0], path.reg_id) for path in session.paths] == [("127.8.0.0", 1)]
+    world.run(1_500.0)
+    world.sip_phones[0].attach()
+    world.run(1_000.0)
+    assert [(path.address[0], path.reg_id) for path in session.paths] == [("127.8.1.0", 1)]
+    phone = world.sip_phones[0]
+    phone._other("REGISTER", b"\x09" * 8, {"contact": ['<sip:p@net>;+sip.instance="<urn:x:p>";reg-id=2']})
+    world.run(500.0)
+    assert [path.reg_id for path in session.paths] == [2] and world.counters["device_flows_replaced"] == 1
+
+
 def test_a_request_whose_content_was_changed_on_its_way_is_not_taken() -> None:
     world = flows()
     phone, sent = world.sip_phones[0], list[bytes]()
