--- a/ospreyvale/settings/timing.py
+++ b/ospreyvale/settings/timing.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -109,7 +108,9 @@
     node.done()
     if len(problems.reasons) > found:
         return None  # the timelines of what could not be read would say nothing
-    policy = Policy(tuple(classes), path_ms, hashlib.sha256(text.encode()).hexdigest()[:16], text)
+    from hashlib import sha256  # it brings 3 MB, which a start without a policy does without
+
+    policy = Policy(tuple(classes), path_ms, sha256(text.encode()).hexdigest()[:16], text)
     for reason in check(policy, site):
         problems.add(TOP, reason)
     return policy
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -93,7 +93,8 @@
     code = ("import sys; sys.argv = ['ospreyvale']; sys.path.insert(0, '.')\n"
             "try: import ospreyvale.__main__\n"
             "except SystemExit: pass\n"
-            "print([name for name in ('click', 'structlog', 'hdrh', 'asyncio', 'threading') if name in sys.modules])")
+            "print([name for name in ('click', 'structlog', 'hdrh', 'cbor2', 'cryptography', 'hashlib', 'asyncio',"
+            " 'threading') if name in sys.modules])")
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=60,
                           check=True)
     assert done.stdout == "[]\n" and done.stderr == "ospreyvale: LB_CONFIG is not set\n"
