ospreyvale lab hands its words to the exchange emulator

Need: operators look for one command. It works in a checkout, where the emulator and its libraries are; elsewhere it says what is missing and ends with 2.

--- a/ospreyvale/program/cli.py
+++ b/ospreyvale/program/cli.py
@@ -82,6 +82,18 @@
     click.echo(f"{file.name}: good" + (f", timing {edge.timing.digest}" if edge.timing else ", no timing"))
 
 
+@main.command(help="The exchange emulator (docs/rehearsal.md), in a checkout of the repository.", add_help_option=False,
+              context_settings={"ignore_unknown_options": True})
+@click.argument("words", nargs=-1, type=click.UNPROCESSED)
+def lab(words: tuple[str, ...]) -> None:
+    try:
+        from lab.emulator.__main__ import main as emulator
+    except ImportError as error:
+        _refuse([f"the emulator is not here, or its libraries (requirements-extra.txt): {error}"])
+        raise
+    emulator.main(list(words), prog_name="ospreyvale lab")
+
+
 @main.group(help="The timing policy of a document.")
 def timing() -> None:
     pass
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -100,6 +100,14 @@
     assert done.stdout == "[]\n" and done.stderr == "ospreyvale: LB_CONFIG is not set\n"
 
 
+def test_lab_hands_its_words_to_the_emulator(files: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    (files / "s.kdl").write_text('incident "x" { at "1s" burn; }')
+    found = run(files, "lab", "incidents", "--script", "s.kdl")
+    assert found.exit_code == 2 and "is nothing that happens" in found.stderr
+    monkeypatch.setitem(sys.modules, "lab.emulator.__main__", None)
+    assert "the emulator is not here" in run(files, "lab", "scale").stderr
+
+
 def test_serve_takes_its_files_from_the_words(tmp_path: Path) -> None:
     (tmp_path / "c.json").write_text("{}")
     done = subprocess.run([sys.executable, "-m", "ospreyvale", "serve", "--config", str(tmp_path / "c.json")], cwd=ROOT,
