Devices and timing: one place finds a path, one makes a device's buckets; dead code out

Seen on reading the whole change: both wires wrote the same lines to find or begin a path (Session.reached serves both), a device's buckets were made in two places, Desk had a wrapper of one call, and a policy that bounds nothing, an unused bound and a case of gap_needed were called by nobody. Behaviour is as it was: no test changed.

--- a/ospreyvale/devices/counter.py
+++ b/ospreyvale/devices/counter.py
@@ -121,12 +121,8 @@
         session.window, session.number = Window(), 0
         for item in session.outbox.values():
             item.numbers.clear()  # they were of the session before
-        path = session.path(NAME, address)
-        if path is None:
-            path = Path(NAME, address, now, proved=True)
-            session.add(path)
+        path, _ = session.reached(NAME, address, now, size, proved=True)
         path.proved = True
-        path.heard(now, size)
         self.sessions.heard(session, now)
         self.counters["device_attached"] += 1
         body = encode(Kind.WELCOME, session.cid, 0, {
@@ -146,12 +142,8 @@
     def _take(self, session: Session, address: Address, datagram: Datagram, size: int) -> None:
         """What a known device has proved."""
         now = self.clock.now
-        path = session.path(NAME, address)
-        if path is None:
-            path = Path(NAME, address, now, proved=False)
-            session.add(path)
-            self.counters["device_paths_new"] += 1
-        path.heard(now, size)
+        path, fresh = session.reached(NAME, address, now, size, proved=False)
+        self.counters["device_paths_new"] += fresh
         self.sessions.heard(session, now)
         affords = self.desk.brings(session, size)
         if datagram.kind is Kind.PATH_BACK:
--- a/ospreyvale/devices/desk.py
+++ b/ospreyvale/devices/desk.py
@@ -112,10 +112,7 @@
 
     def brings(self, session: Session, size: int) -> bool:
         """A device has said so many bytes; False beyond its limit: its new requests are refused for that."""
-        if session.buckets is None:
-            session.buckets = (Bucket(self.clock.now, self.limits.requests_device),
-                               Bucket(self.clock.now, self.limits.bytes_device))
-        if session.buckets[1].take(self.clock.now, self.limits.bytes_device, size):
+        if self._buckets(session)[1].take(self.clock.now, self.limits.bytes_device, size):
             return True
         self.counters["device_bytes_limited"] += 1
         return False
@@ -171,7 +168,7 @@
     def hang_up(self, session: Session, request: bytes, first_epoch: bytes = b"") -> bool:
         """The device ends a call that stands."""
         if first_epoch and first_epoch != self.epoch:
-            self._disown(fingerprint(first_epoch, session.device, request))
+            self.core.disown(fingerprint(first_epoch, session.device, request))
             return True
         known = self.index.find(fingerprint(self.epoch, session.device, request))
         if not isinstance(known, Request) or known.answer is None or known.answer.end != STANDS:
@@ -273,13 +270,19 @@
             return Finished(b"", REFUSED, 2_000)
         if not affords:
             return Finished(b"", REFUSED, 1_000)
-        own = session.buckets[0] if session.buckets is not None else Bucket(now, limits.requests_device)
-        for bucket, rate in ((own, limits.requests_device), (self.whole, limits.requests)):
+        for bucket, rate in ((self._buckets(session)[0], limits.requests_device), (self.whole, limits.requests)):
             if not bucket.take(now, rate):
                 self.counters["device_requests_limited"] += 1
                 return Finished(b"", REFUSED, math.ceil(bucket.wait_ms(rate)))
         return None
 
+    def _buckets(self, session: Session) -> tuple[Bucket, Bucket]:
+        """A device's own: requests and bytes."""
+        if session.buckets is None:
+            session.buckets = (Bucket(self.clock.now, self.limits.requests_device),
+                               Bucket(self.clock.now, self.limits.bytes_device))
+        return session.buckets
+
     def _finish_new(self, key: int, ask: Ask, answer: Finished) -> Finished:
         """A request that gets no call still has one answer only."""
         finished = Finished(ask.content, answer.end, answer.away_ms)
@@ -305,7 +308,7 @@
         It is released wherever it can be, and after the release time it is offered anew under another call id.
         """
         self.counters["device_recovered"] += 1
-        self._disown(fingerprint(request.ask.first_epoch, request.session.device, request.ask.request))
+        self.core.disown(fingerprint(request.ask.first_epoch, request.session.device, request.ask.request))
         if left <= 2.0 * self.release_ms:
             self._final(request.key, REFUSED, 0)
             return
@@ -315,9 +318,6 @@
         """Offer it once the release time is over."""
         request.timer = self.clock.at(self.clock.now + self.release_ms + 1.0, lambda: self._offer(request))
 
-    def _disown(self, call: int) -> None:
-        self.core.disown(call)
-
     def _over(self, request: Request, answer: Finished) -> None:
         """Nothing of the request lives any more."""
         if request.timer is not None:
--- a/ospreyvale/devices/sessions.py
+++ b/ospreyvale/devices/sessions.py
@@ -79,6 +79,16 @@
                 return path
         return None
 
+    def reached(self, wire: str, address: Address, now: float, size: int, proved: bool) -> tuple[Path, bool]:
+        """The path by which so many bytes have come, and whether it is a new one (`proved`: that it is heard there)."""
+        path = self.path(wire, address)
+        fresh = path is None
+        if path is None:
+            path = Path(wire, address, now, proved)
+            self.add(path)
+        path.heard(now, size)
+        return path, fresh
+
     def add(self, path: Path) -> None:
         """A new path; past the bound the one not proved, then the one silent for longest, gives way."""
         self.paths.append(path)
--- a/ospreyvale/devices/sip.py
+++ b/ospreyvale/devices/sip.py
@@ -168,15 +168,12 @@
             self.counters["device_repeated"] += 1
             return
         session.key_id = said.key_id
-        path = session.path(self.name, address)
-        if path is None:
-            path = Path(self.name, address, now, proved=True)  # the cookie shows that it is heard there
-            session.add(path)
+        path, fresh = session.reached(self.name, address, now, size, proved=True)  # its cookie shows it
+        if fresh:
             self.counters["device_paths_new"] += 1
             self.flows[address] = session
             if len(self.flows) > self.sessions.most:
                 del self.flows[next(iter(self.flows))]
-        path.heard(now, size)
         self.sessions.heard(session, now)
         affords = self.desk.brings(session, size)
         match message.method:
--- a/ospreyvale/protocol/sip_datagram.py
+++ b/ospreyvale/protocol/sip_datagram.py
@@ -8,7 +8,6 @@
 from ospreyvale.protocol import sip
 from ospreyvale.protocol.errors import ProtocolError
 
-LARGEST = 1_300  # of what is sent (RFC 3261, 18.1.1); what comes may be longer
 MAGIC = "z9hG4bK"
 _VIA = re.compile(r"SIP\s*/\s*2\.0\s*/\s*([A-Z]+)\s+([^\s;,]+)\s*((?:;[^,]*)?)(.*)\Z", re.IGNORECASE | re.DOTALL)
 
--- a/ospreyvale/timing/policy.py
+++ b/ospreyvale/timing/policy.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass, field
 
 ROUTES_MOST = 6  # named in one class: with the two general ones 8^4 orders are laid out at a load
@@ -134,16 +133,7 @@
         return max(0.0, self.path_ms - grace_ms)
 
 
-def untimed(site: Site) -> Policy:
-    """The policy that bounds nothing: what holds where no document names any."""
-    return Policy(tuple(ClassTiming(kind.name, kind.deadline_ms, (Route("direct"), Route("transit")),
-                                    bounded=False) for kind in site.classes))
-
-
-def gap_needed(attempt: Attempt, back_off: BackOff | None, failed: int, in_doubt: bool,
-               chance: float = math.nan) -> float:
-    """The wait before an attempt after so many; with the back-off's jitter at the top where no chance is given."""
+def gap_needed(attempt: Attempt, back_off: BackOff | None, failed: int, in_doubt: bool, chance: float) -> float:
+    """The wait before an attempt after so many, with the back-off's jitter drawn by a chance from 0 to 1."""
     gap = attempt.gap_ms if in_doubt else 0.0
-    if back_off is None:
-        return gap
-    return max(gap, back_off.most(failed) if math.isnan(chance) else back_off.drawn(failed, chance))
+    return gap if back_off is None else max(gap, back_off.drawn(failed, chance))
