SIGTERM: all is answered and closed before SIGKILL may come, though calls still stand

The logs of all 48 nodes: {"event":"stopping","unanswered":0,"standing":41}, then nothing that ends the process, until SIGKILL 3.7 s later. Calls stand for 9 s and more, so 47 of 48 nodes were killed rather than ended ("1 nodes that ended by themselves"). Meanwhile 33 calls in transit were taken on n38 later than 0.6 s after SIGTERM, the last at 3.59 s; not one call of a subscriber was (0 of all 48 nodes). Exchanges send calls in transit as long as a connection takes them, and those out when SIGKILL came were the lost ones. Ruled out: requests read by half, a late loop (longest turn 1 ms), the handover's Unix socket (the nodes end and start without it).

At fault were `_end_when_over`, which waited for standing calls without a limit, and a drain with no end to its serving. Now each call owed an answer, or taken later, has it by the longest deadline (3 s at most) + 0.1 s; for the last 0.4 s before that set-ups are refused at once; then the listeners close, having accepted what their queues held, 0.1 s later the connections, and 0.1 s later the process ends.

--- a/ospreyvale/fronts/drain.py
+++ b/ospreyvale/fronts/drain.py
@@ -47,6 +47,10 @@
             self._tell()
             self.loop.at(self.since + leaving_ms, lambda since=self.since: self._sweep(since))  # type: ignore[misc]
 
+    def refuse(self) -> None:
+        """New set-ups are refused from now on."""
+        self.serving_ms = min(self.serving_ms, self.loop.now - self.since)
+
     def end(self) -> None:
         if self.on:
             self.since = math.inf
--- a/ospreyvale/fronts/sip.py
+++ b/ospreyvale/fronts/sip.py
@@ -92,6 +92,12 @@
         """Whether a set-up is being read by half: it is owed its time, `UNFINISHED_MS` at most."""
         return any(caller.reader.inside for caller in self.unfinished.since)
 
+    def close(self) -> None:
+        """The process ends: every connection that no answer is owed on is closed once it is written."""
+        for caller in [*self.idle, *self.callers]:
+            if not caller.open:
+                caller.link.close()
+
     def share(self, processes: int) -> None:
         """So many processes have the descriptors together, and the others no callers: those are here."""
         self.most = max(1, self.sockets - processes * RESERVED)  # connections from callers at once
--- a/ospreyvale/program/app.py
+++ b/ospreyvale/program/app.py
@@ -44,6 +44,10 @@
 TCP = "sip-tcp"
 EDGE = Path("deploy/edge.kdl")  # or what LB_EDGE names
 LINGER_MS = 750.0  # set-ups may still come for 0.6 s after SIGTERM
+# SIGKILL comes so long after SIGTERM, and the longest time of a caller, up to 3 s, later; all is over before.
+KILLED_MS, DEADLINE_MOST_MS, SPARE_MS = 700.0, 3_000.0, 600.0
+LAST_MS = 400.0  # a set-up with less time left than that is refused at once
+CLOSING_MS = 100.0  # from the last connection to the close of all, and from there to the end
 CHECK_MS = 20.0
 GC_OBJECTS = 50_000
 SLOW_TURN_MS = 20.0
@@ -112,6 +116,7 @@
         self.beside: list[Listening] = []  # where operators call
         self.timing.take(edge.timing, "start")
         self.stopping = self.hurried = self.ready = False
+        self.ends_at = math.inf
         if edge.counters is not None:
             self._listen_http(network, edge.counters, counters_routes(self.figures))
         if config.admin is not None:
@@ -164,14 +169,20 @@
     def stop(self) -> None:
         """SIGTERM: serve what still comes, end once no call is left; at the second one, once all is answered.
 
-        Guards the calls that stand: with the process they are cut, and their callers hear of no release.
+        Guards the calls that stand: with the process they are cut, and their callers hear of no release.  But
+        exchanges send calls in transit for as long as they are taken, and SIGKILL found some unanswered: all
+        is answered, and no connection open, well before it may come.
         """
         if not self.stopping:
             self.stopping = True
-            self.log("stopping", unanswered=self.core.context.table.unanswered,
-                     standing=self.core.context.table.standing)
-            self.drain.begin(LINGER_MS, math.inf)
-            self.loop.at(self.loop.now + LINGER_MS, self._end_when_over)
+            now, table = self.loop.now, self.core.context.table
+            longest = max(kind.deadline_ms for kind in self.config.settings.classes)
+            left = max(min(longest, DEADLINE_MOST_MS) + KILLED_MS - SPARE_MS, LINGER_MS + CHECK_MS)
+            self.ends_at = now + left
+            self.log("stopping", unanswered=table.unanswered, standing=table.standing)
+            self.drain.begin(LINGER_MS, left - LAST_MS)
+            self.core.answer_by(self.ends_at)
+            self.loop.at(now + LINGER_MS, self._end_when_over)
         else:
             self.hurried = True
 
@@ -217,11 +228,20 @@
         return {**self.kept.flat(), "log_dropped": self.log.dropped}
 
     def _end_when_over(self) -> None:
-        table = self.core.context.table
-        if table.unanswered or self.sip.reading or (table.standing and not self.hurried):
-            self.loop.at(self.loop.now + CHECK_MS, self._end_when_over)
+        now, table = self.loop.now, self.core.context.table
+        owed = table.unanswered or self.sip.reading or (table.standing and not self.hurried)
+        if owed and now < self.ends_at:
+            self.loop.at(now + CHECK_MS, self._end_when_over)
             return
-        self._end()
+        self.drain.refuse()
+        for listener in self.listeners.values():
+            listener.close()
+        self.loop.at(now + CLOSING_MS, self._close)
+
+    def _close(self) -> None:
+        """What came last has been read and refused: close, and let what is said be written."""
+        self.sip.close()
+        self.loop.at(self.loop.now + CLOSING_MS, self._end)
 
     def _end(self) -> None:
         for listener in [*self.listeners.values(), *self.beside]:
--- a/ospreyvale/routing/core.py
+++ b/ospreyvale/routing/core.py
@@ -8,6 +8,7 @@
 
 import math
 from collections import deque
+from dataclasses import replace
 
 from ospreyvale.routing import interface as i
 from ospreyvale.routing.context import Context, Log
@@ -45,6 +46,7 @@
         self.elsewhere: Elsewhere | None = None  # the process that this one replaces, while it has calls
         self._events: deque[i.Event] = deque()
         self._busy = False
+        self._answer_by = math.inf
 
     # ---- from the callers' side ----
 
@@ -53,11 +55,24 @@
         if self.elsewhere is not None and self.elsewhere.holds(offer.call):
             self.context.counters["offers_repeated"] += 1
             return False
+        left = self._answer_by - self.context.clock.now
+        if offer.patience_ms > left:  # the module decides by the time that there is
+            offer = replace(offer, patience_ms=left)
         state = take_in(self.context, offer, caller, self._expire)
         if state is not None:
             admit(self.context, state)
         return state is not None
 
+    def answer_by(self, when: float) -> None:
+        """The process ends: whatever is owed an answer, or comes still, has its own by then."""
+        self._answer_by = when
+        for state in self.context.table.calls.values():
+            if state.final is None and state.deadline > when:
+                state.deadline = when
+                if state.timer is not None:
+                    state.timer.cancel()
+                state.timer = self.context.clock.at(when, lambda state=state: self._expire(state))  # type: ignore[misc]
+
     def give_up(self, call: int) -> None:
         """The caller stops waiting, or its connection is gone: no answer is owed any more."""
         state = self.context.table.calls.get(call)
--- a/ospreyvale/transport/network.py
+++ b/ospreyvale/transport/network.py
@@ -181,6 +181,8 @@
 
     def close(self) -> None:
         if self.sock.fileno() >= 0:
+            if not self.paused:
+                self._accept(0)  # what the queue holds is a connection to its peer, and would be reset
             self.loop.unwatch(self.sock.fileno())
             self.sock.close()
 
--- a/tests/player.py
+++ b/tests/player.py
@@ -12,6 +12,7 @@
     gone NAME              the program closed it         quiet            nothing unread was sent anywhere
     after MS               time passes                   count NAME N     a counter of the program
     mute NAME              the peer answers no probes there from now on
+    term                   SIGTERM                     over                   the program has ended
     reload JSON            SIGHUP, with a file that now says so on top of what it said before
 
 BYTES are Python bytes literals, as many as the line and the indented ones after it hold; SIP(...) adds the
@@ -243,6 +244,10 @@
         elif word == "reload":
             self.changes = json.loads(rest)
             app.on_signal(signal.SIGHUP)
+        elif word == "term":
+            app.on_signal(signal.SIGTERM)
+        elif word == "over":
+            assert not self.loop.running, "the program has not ended"
         elif word == "after":
             self.after(float(rest))
         elif word == "count":
