A cold exchange bears what its groups were sized for, not what was carried here before

The processors were idle: "own=0/0 far=76 rate=0.9 peak=1.0 free=36/37 ages=9,w" (delays in ms, peak in calls carried a second, ages of the cold ends in s). Ruled out: the hold on the own rate (no limit learned), the holds on delay (1 in 60), circuits.

At fault was the capacity in `_bears`, `peak`: the calls carried here at best. An instance that has just started has carried nothing, so its own cold exchange got one call a second, and so it went on carrying one a second for 14 s; and toward a far exchange it said what the own one carries, shared equally, while pairs differ much.

Now each group says it: warm, an exchange bears the traffic that its groups were sized for. Size less its spare (2.4 roots of the load, the most that the site gives) over the mean length of a call, half for each direction. The rest of the budget is as before. Two set-ups in the longer window of a thin pair, as calls come unevenly.

--- a/ospreyvale/routing/control.py
+++ b/ospreyvale/routing/control.py
@@ -31,6 +31,8 @@
 RATE_MEMORY_MS = 1_000.0  # the set-up rate is an average over about this long
 CARRIED_MEMORY_MS = 5_000.0  # average of the calls carried: long, as it stands for a capacity
 SET_UPS_A_CALL = 3.0  # work of a call carried and one that ends here, in set-ups: answers and releases too
+SPARE, HOLD_MS = 2.4, 10_000.0  # most roots of its load that a group has to spare; a call's length if untold
+COLD_DEPTH = 2  # set-ups to a cold exchange in its window at least: calls come unevenly
 RATE_CUT = 0.8  # of the calls carried at best is left at least when the own processor begins to lag
 RATE_GROWTH = 0.10  # per second: how fast the learned rate rises while the processor is quick,
 IDLE_GROWTH = 0.50  # and while its delay is under this share of the scale: nobody waits there
@@ -523,20 +525,28 @@
     def _bears(self, now: float, end: Far) -> bool:
         """Whether a cold exchange has room in this instance's share of what it bears; if so, it is used.
 
-        Half is for its own calls.  Its capacity is what the own exchange has carried: calls sent in vain tell
-        nothing of it (i18b10f).  Under one a window is one per longer window, the instances in turn.
+        Warm, it bears what its groups were sized for, and each end of a group has half of that.  What was
+        carried here tells less: after a restart it was next to nothing, allowed as little, and so stayed.
+        Under a few a window they are as many per longer window, the instances in turn.
         """
-        share = 0.5 if end is self.own else 0.5 / max(1, self.s.instances - 1)
-        bears = self.s.fall_multiple * self.s.cold_from * SET_UPS_A_CALL * self.peak * self.s.fall_ms / 1000.0
-        window = self.s.fall_ms / max(min(1.0, bears * share), 1e-9)
+        planned = sum(map(self._planned, self.far.values() if end is self.own else (end,)))
+        bears = max(self.s.fall_multiple * self.s.cold_from * SET_UPS_A_CALL / 2.0 * planned, 1e-9)
+        window = max(self.s.fall_ms, COLD_DEPTH * 1000.0 / bears)
         while end.recent and end.recent[0] <= now - window:
             end.recent.popleft()
         turn = end.started + window * self.s.index / self.s.instances
-        if self.handed_on or now < turn or len(end.recent) >= max(1, int(bears * share)):
+        if self.handed_on or now < turn or len(end.recent) >= int(bears * window / 1000.0 + 0.001):
             return False
         end.recent.append(now)
         return True
 
+    def _planned(self, far: Far) -> float:
+        """Calls a second that the group was sized for, in one direction; of a pool, a share alike."""
+        size = max(far.size, 1.0)  # 0: not told yet
+        load = (math.sqrt(SPARE * SPARE + 4.0 * size) - SPARE) ** 2 / 4.0
+        hold = max(c.hold_ms for c in self.s.classes) or HOLD_MS
+        return load * 1000.0 / hold / (2 if self.s.here >= 0 else self.s.instances)
+
     def _answer(self, record: Record, action: i.Refuse | i.Fail) -> bool:
         """The one final answer of a call."""
         if not record.done:
