Descriptors for exchanges follow their list; running out is no death of an exchange

With 150 exchanges and more under 256 to 512 descriptors callers would have had more than there was: the next line then finds none, `dial` gave None, and `_unreachable` took the exchange for dead and cut every call through it.

Now the callers' share is what the list, as it is now, leaves: 50 for the program and two for each exchange are kept, and callers have a third of all at least, which is the most that they hold. Dialling without a descriptor waits for one. Buckets by destination of a timing policy: 4,096 rather than 256 (off on the platform).

--- a/ospreyvale/fronts/sip.py
+++ b/ospreyvale/fronts/sip.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter, OrderedDict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from ospreyvale.fronts.drain import Drain
@@ -21,7 +21,9 @@
 
 CAUSES = {i.Outcome.OK: 16, i.Outcome.RESET: 41}
 RELEASES_KEPT = 8_192  # releases that wait for a connection from callers
-RESERVED = 64  # descriptors for exchanges (four lines each), the bus, listeners and the program itself
+# Descriptors kept for the bus, the listeners, operators and the program itself, and for each exchange: its line,
+# and another beside it where that is doubted.  Callers hold a third of all at most, and are never cut below it.
+OWN, LINES_EACH, CALLERS_SHARE = 50, 2, 3
 STOPPED_MS = 1_000.0  # nothing more of a message for so long: whoever writes slowly writes more often
 DRAIN_IDLE_MS = 500.0  # while clients are sent away, a connection that never brought a set-up may be quiet
 FAULTS_MOST = 32  # refused for their form in a row on one connection, before it is closed
@@ -61,7 +63,8 @@
         self.loop, self.core, self.name, self.drain = loop, core, name, drain
         drain.sweeps.append(self._send_away)
         self.customers, self.widest = frozenset(customers), widest
-        self.sockets = sockets
+        self.sockets, self.processes = sockets, 1
+        self.exchanges: Callable[[], int] = lambda: 0  # how many have lines; told by whoever keeps those
         self.classes = {text: place for place, text in enumerate(classes)}
         self.patience_ms, self.counters, self.log = patience_ms, counters, log
         self.callers: OrderedDict[Caller, None] = OrderedDict()  # that have sent set-ups, latest last
@@ -70,17 +73,17 @@
         self.unfinished = Unfinished[Caller](loop, counters, lambda caller: bool(caller.open))
         self.at: dict[int, Caller] = {}  # the connection of each call that is here, until it is over
         self.releases: OrderedDict[int, int] = OrderedDict()  # cause by call, until one can be sent
-        self.share(1)
 
     # ---- connections ----
 
     def serve(self, link: Link) -> Coroutine:
         """One connection, until the peer ends its side."""
         caller = Caller(link)
-        if len(self.idle) + len(self.callers) >= self.most and not self.make_room():
-            self.counters["connections_refused"] += 1
-            link.close()
-            return
+        while len(self.idle) + len(self.callers) >= self.most:
+            if not self.make_room():
+                self.counters["connections_refused"] += 1
+                link.close()
+                return
         self.idle[caller] = None
         self.silent[caller] = None
         self.unfinished.begin(caller)
@@ -100,10 +103,16 @@
 
     def share(self, processes: int) -> None:
         """So many processes have the descriptors together, and the others no callers: those are here."""
-        self.most = max(1, self.sockets - processes * RESERVED)  # connections from callers at once
+        self.processes = processes
         while len(self.idle) + len(self.callers) > self.most and self.make_room():
             pass
 
+    @property
+    def most(self) -> int:
+        """Connections from callers at once: what the list of exchanges, as it is now, leaves of the descriptors."""
+        kept = self.processes * (OWN + LINES_EACH * self.exchanges())
+        return max(1, self.sockets // CALLERS_SHARE, self.sockets - kept)
+
     def hand_over(self) -> Iterator[tuple[int, Handed]]:
         """Every connection, with its descriptor; none is left here."""
         ended = [caller for caller in self.at.values() if caller.ended]
--- a/ospreyvale/program/app.py
+++ b/ospreyvale/program/app.py
@@ -95,6 +95,7 @@
         self.core.home = self.sip
         self.exchanges = IsupExchanges(network, self.core, config.columns, config.connect_timeout_ms,
                                        self.counters, log)
+        self.sip.exchanges = lambda: len(self.exchanges.far)
         for event in config.known:
             self.exchanges.take(event)
         self.bus = BusFront(network, config.bus, config.connect_timeout_ms, config.offset,
--- a/ospreyvale/timing/engine.py
+++ b/ospreyvale/timing/engine.py
@@ -13,7 +13,7 @@
 
 from ospreyvale.timing.policy import Attempt, Budget, ClassTiming, Policy, Route, Site, gap_needed
 
-DESTINATIONS_MOST = 256  # buckets by class and destination; one that gave way is full when it comes again
+DESTINATIONS_MOST = 4_096  # buckets by class and destination; one that gave way is full when it comes again
 BURST_S = 1.0  # a bucket holds what comes in so long, and one token at least
 
 
--- a/ospreyvale/transport/network.py
+++ b/ospreyvale/transport/network.py
@@ -278,11 +278,18 @@
 
     def dial(self, address: Address, timeout_ms: float,
              urgent: bool = False) -> Generator[Signal, None, Link | None]:
-        """A connection to the address, or None when it is refused or does not come up in time."""
-        try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        except OSError:
-            return None
+        """A connection to the address, or None when it is refused or does not come up in time.
+
+        Out of descriptors it waits for one: that says nothing of the far end, which was taken for dead.
+        """
+        while True:
+            try:
+                sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+                break
+            except OSError as error:
+                if error.errno not in _NO_DESCRIPTOR:
+                    return None
+            yield from self.loop.sleep(FULL_PAUSE_MS)
         sock.setblocking(False)
         result = sock.connect_ex(address)
         if result == errno.EINPROGRESS:
