What a cold exchange does not bear does not spill over to tandems

`_decide` went round whenever the direct set-up did not go out, and could not tell "no circuit" from "bears no more": the tandems share the same budget, so the work of both was lost. Ruled out: circuits (110 of them had none free).

Now a call to a cold exchange goes over a tandem only where its own group is full, or there is none.

The new test fails without the change.

--- a/ospreyvale/routing/control.py
+++ b/ospreyvale/routing/control.py
@@ -453,9 +453,12 @@
         if now >= record.not_before and not shut:
             if (far.free < 0 or far.free >= call.width) and self._send(now, record, far):
                 return True
-            # A pair told to have no group goes over a tandem as its ordinary path, not as overflow.
+            # A pair told to have no group goes over a tandem as its ordinary path, not as overflow.  What a
+            # cold exchange does not bear is no overflow: tandems may send it no more, and turned that back.
             no_group = far.free >= 0 and far.size < call.width
-            if not call.transit and (no_group or (self._quick(now, far) and self._quick(now, self.own))):
+            spills = now >= far.cold_until or 0 <= far.free < call.width
+            if not call.transit and (no_group or (
+                    spills and self._quick(now, far) and self._quick(now, self.own))):
                 for tandem in self._tandems(now, record):
                     if self._send(now, record, tandem):
                         return True
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -437,6 +437,16 @@
     assert sends == [[9], [9], [], []]  # what a cold exchange does not bear waits; it is no call for a tandem
 
 
+def test_what_a_cold_exchange_does_not_bear_does_not_spill_over_to_tandems() -> None:
+    """roll+mass: 84 to 92% of calls in transit to a cold exchange were turned back, most for that reason."""
+    mesh = Mesh(exchanges=4)
+    mesh.feed(Roster(False, (line(3, started=mesh.now, generation=1),)))
+    mesh.group(3, 20.0)
+    assert [sent_to(mesh.call(3)) for _ in range(4)] == [[3], [3], [], []]
+    mesh.group(3, 0.0)
+    assert sent_to(mesh.call(3)) != []  # its circuits are all taken: that is overflow
+
+
 def test_silence_from_many_ends_closes_the_own_exchange_and_does_not_open_it() -> None:
     """Day L690454: 98.6% of attempts unanswered, and the own processor was read as quick."""
     mesh = Mesh(exchanges=7, probing=False)
