Lines to exchanges leave callers a third of the descriptors

With about as many exchanges as descriptors (256 are allowed, hundreds of exchanges are announced) none is left to accept a caller; `make_room` has no caller to give up, accepting pauses, and calls lie in the listener's queue until their time is over.

Now the dialled connections are counted and bounded by what is left of the limit without the callers' third and the program's own 50; past that a dial waits, looking each 0.5 s. The bus is exempt.

--- a/ospreyvale/program/app.py
+++ b/ospreyvale/program/app.py
@@ -21,7 +21,7 @@
 from ospreyvale.fronts.drain import Drain
 from ospreyvale.fronts.http import HttpFront, Routes
 from ospreyvale.fronts.m3ua import M3uaFront
-from ospreyvale.fronts.sip import SipFront
+from ospreyvale.fronts.sip import CALLERS_SHARE, OWN, SipFront
 from ospreyvale.operations.admin import Admin
 from ospreyvale.operations.eventlog import EventLog
 from ospreyvale.operations.figures import Figures
@@ -319,7 +319,9 @@
         path = Path(environment.get("LB_EDGE") or EDGE)
         edge = read_edge(path, site_of(config))
         log = event_log(loop, config.name, edge)
-        app = App(config, edge, Network(loop), log, lambda: read_config(environment),
+        network = Network(loop)
+        network.dial_most = max(1, granted - granted // CALLERS_SHARE - OWN)
+        app = App(config, edge, network, log, lambda: read_config(environment),
                   Path(shared) if shared else None, lambda site: read_edge(path, site))
     except DocumentError as error:
         print(*(f"ospreyvale: {reason}" for reason in error.reasons), sep="\n", file=sys.stderr)
--- a/ospreyvale/transport/network.py
+++ b/ospreyvale/transport/network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import math
 import select
 import socket
 from collections.abc import Callable, Generator
@@ -15,7 +16,8 @@
 QUEUE_LIMIT = 262_144  # bytes that a slow reader may leave unsent before its connection is dropped
 ACCEPTS_A_TURN = 64  # an accept burst must not hold up the calls in progress
 CLOSE_MS = 2_000.0  # a peer that reads no more has so long for what is queued when its connection is closed
-FULL_PAUSE_MS = 20.0  # out of descriptors: accept again after this
+FULL_PAUSE_MS = 20.0  # out of descriptors: accept again after this,
+DIAL_PAUSE_MS = 500.0  # and dial: hundreds may wait so
 BACKLOG = 1024
 DATAGRAMS_A_TURN, DATAGRAM_MOST = 64, 4_096
 _NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -39,8 +41,9 @@
 class Connection:
     """One TCP connection; `receive` gives b"" once when the peer has ended its side."""
 
-    def __init__(self, loop: Loop, sock: socket.socket, urgent: bool = False) -> None:
-        self.loop, self.sock, self.urgent = loop, sock, urgent
+    def __init__(self, loop: Loop, sock: socket.socket, urgent: bool = False,
+                 ended: Callable[[], None] = lambda: None) -> None:
+        self.loop, self.sock, self.urgent, self.ended = loop, sock, urgent, ended
         self.closed = self.was_reset = False
         self._ended = self._closing = False
         self._queue = bytearray()
@@ -142,6 +145,7 @@
             self.closed = True
             self.loop.unwatch(self.sock.fileno())
             self.sock.close()
+            self.ended()
             self.loop.fire(self._readable)
 
 
@@ -260,6 +264,7 @@
 
     def __init__(self, loop: Loop) -> None:
         self.loop = loop
+        self.dialled, self.dial_most = 0, math.inf  # connections that were dialled, and how many there may be
 
     def listen(self, address: Address, serve: Callable[[Link], Coroutine], make_room: Callable[[], bool],
                urgent: bool = False, fd: int | None = None) -> Listening:
@@ -280,16 +285,19 @@
              urgent: bool = False) -> Generator[Signal, None, Link | None]:
         """A connection to the address, or None when it is refused or does not come up in time.
 
-        Out of descriptors it waits for one: that says nothing of the far end, which was taken for dead.
+        Out of descriptors it waits for one: that says nothing of the far end, which was taken for dead.  So it
+        does where lines have their part of them: callers wait in the listener's queue, and would be lost there.
         """
         while True:
             try:
-                sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-                break
+                if urgent or self.dialled < self.dial_most:
+                    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+                    break
             except OSError as error:
                 if error.errno not in _NO_DESCRIPTOR:
                     return None
-            yield from self.loop.sleep(FULL_PAUSE_MS)
+            yield from self.loop.sleep(DIAL_PAUSE_MS)
+        self.dialled += 1
         sock.setblocking(False)
         result = sock.connect_ex(address)
         if result == errno.EINPROGRESS:
@@ -303,8 +311,12 @@
             late.cancel()
         if result:
             sock.close()
+            self._hung_up()
             return None
-        return Connection(self.loop, sock, urgent)
+        return Connection(self.loop, sock, urgent, self._hung_up)
+
+    def _hung_up(self) -> None:
+        self.dialled -= 1
 
 
 class Dialer(Protocol):
