Groups are summed for the own cold exchange only when one has changed

Found on reading the change again: `_bears` summed the plan of every group for each set-up it was asked about while the own exchange is cold, also for calls that wait and are looked at on every beat, one kind a destination: the square of the list in a turn. The sum is kept, and made anew when a group's size or the list has changed. The new test counts looks at groups; without the change there are 59 for each call.

The condition for going round by tandems is nested less; lines of the documents are wrapped.

--- a/ospreyvale/routing/control.py
+++ b/ospreyvale/routing/control.py
@@ -127,7 +127,7 @@
         self.learned = math.inf  # set-ups a second; no limit before the own processor has lagged
         self.carried, self.vain = 0.0, 0.0  # a second: calls that came to stand, set-ups that came back
         self.vain_hold = Hold(VAIN_BAND)
-        self.lagged, self.standing = False, 0
+        self.lagged, self.standing, self.planned = False, 0, -1.0  # planned for all groups; < 0: to be summed
         self.beat_due, self.resumed = math.inf, -math.inf  # own timer; when a stall last ended
         self.rate_hold = Hold(BAND, self.tolerance)
         self.count_hold = Hold(COUNT_BAND)
@@ -181,7 +181,7 @@
                 best[line.number] = line
             if line.number not in self.far and line.number != self.s.here:
                 self.far[line.number] = Far(line.number, self.tolerance)
-                self.routes = {}
+                self.routes, self.planned = {}, -1.0
         for far in [self.own, *self.far.values()]:
             ready = best.get(far.number)
             far.ready = ready is not None
@@ -340,6 +340,7 @@
 
     def _report(self, far: Far, report: tuple[float, ...]) -> None:
         if len(report) >= 2 and report[0] >= 0:
+            self.planned = self.planned if report[1] == far.size else -1.0
             far.free, far.size = report[0], report[1]
 
     def _timed(self, now: float, far: Far, delay: float) -> None:
@@ -456,9 +457,8 @@
             # A pair told to have no group goes over a tandem as its ordinary path, not as overflow.  What a
             # cold exchange does not bear is no overflow: tandems may send it no more, and turned that back.
             no_group = far.free >= 0 and far.size < call.width
-            spills = now >= far.cold_until or 0 <= far.free < call.width
-            if not call.transit and (no_group or (
-                    spills and self._quick(now, far) and self._quick(now, self.own))):
+            spills = (now >= far.cold_until or 0 <= far.free < call.width) and self._quick(now, far)
+            if not call.transit and (no_group or (spills and self._quick(now, self.own))):
                 for tandem in self._tandems(now, record):
                     if self._send(now, record, tandem):
                         return True
@@ -528,11 +528,12 @@
     def _bears(self, now: float, end: Far) -> bool:
         """Whether a cold exchange has room in this instance's share of what it bears; if so, it is used.
 
-        Warm, it bears what its groups were sized for, and each end of a group has half of that.  What was
-        carried here tells less: after a restart it was next to nothing, allowed as little, and so stayed.
-        Under a few a window they are as many per longer window, the instances in turn.
+        Warm, it bears what its groups were sized for, half from each end; what was carried here is nothing
+        after a restart, and so stayed.  Few a window are as many per longer one, the instances in turn.
         """
-        planned = sum(map(self._planned, self.far.values() if end is self.own else (end,)))
+        if end is self.own and self.planned < 0.0:
+            self.planned = sum(map(self._planned, self.far.values()))
+        planned = self.planned if end is self.own else self._planned(end)
         bears = max(self.s.fall_multiple * self.s.cold_from * SET_UPS_A_CALL / 2.0 * planned, 1e-9)
         window = max(self.s.fall_ms, COLD_DEPTH * 1000.0 / bears)
         while end.recent and end.recent[0] <= now - window:
@@ -545,8 +546,7 @@
 
     def _planned(self, far: Far) -> float:
         """Calls a second that the group was sized for, in one direction; of a pool, a share alike."""
-        size = max(far.size, 1.0)  # 0: not told yet
-        load = (math.sqrt(SPARE * SPARE + 4.0 * size) - SPARE) ** 2 / 4.0
+        load = (math.sqrt(SPARE * SPARE + 4.0 * max(far.size, 1.0)) - SPARE) ** 2 / 4.0  # size 0: not told
         hold = max(c.hold_ms for c in self.s.classes) or HOLD_MS
         return load * 1000.0 / hold / (2 if self.s.here >= 0 else self.s.instances)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from ospreyvale.routing.control import Control, Far
 from ospreyvale.routing.interface import (
     Abandoned,
     Action,
@@ -182,6 +183,24 @@
     assert 8 <= sent[20.0] <= 12 and sent[200.0] > 10 * sent[20.0]  # in 9 s, of 1.2 and 18 calls a second planned
 
 
+def test_groups_are_summed_for_the_own_cold_exchange_only_when_one_has_changed(monkeypatch: pytest.MonkeyPatch) -> None:
+    mesh, looked = Mesh(exchanges=60, probing=False), list[int]()
+    right = Control._planned
+
+    def counted(self: Control, far: Far) -> float:
+        looked.append(far.number)
+        return right(self, far)
+
+    monkeypatch.setattr(Control, "_planned", counted)
+    mesh.feed(Roster(False, (line(0, started=mesh.now, generation=1),)))
+    for number in range(1, 60):
+        mesh.call(number)
+    assert len(looked) == 59
+    mesh.group(1, 20.0, 40.0)
+    mesh.call(2)
+    assert len(looked) == 2 * 59
+
+
 def test_own_cold_exchange_limits_its_own_calls() -> None:
     mesh = Mesh(exchanges=3, probing=False)
     mesh.feed(Roster(False, (line(0, started=mesh.now, generation=1),)))
