Log the ends and repeats of attempts, connections by number, and reasons of refusals

Missed in the incident's evidence: which connection carried an attempt, how it ended for the controller, and which messages were ignored. New events: attempt_ended, attempt_repeated, message_ignored, late_end, exchange_connected, exchange_suspect, caller_lost; exchange_lost has the connection, call has the reason of a refusal. New counter set_ups_retried. The reason is left out of comparisons and of repr, so recorded decisions replay unchanged.

test_handover: the last event of the new process was compared with 'replaced'; its connections now log too, in an order that the test does not concern, so they are left out before the same comparison.

--- a/ospreyvale/exchanges/isup.py
+++ b/ospreyvale/exchanges/isup.py
@@ -78,10 +78,11 @@
 
 
 class ExchangeConnection:
-    """One connection to an exchange."""
+    """One connection to an exchange; `number` identifies it in the log."""
 
-    def __init__(self, link: Link, now: float) -> None:
+    def __init__(self, link: Link, number: int, now: float) -> None:
         self.link = link
+        self.number = number
         self.reader = isup.Reader()
         self.connected_at = self.last_received_at = now
         self.group_report_count = 0  # reports of the circuit group received on this connection
@@ -154,6 +155,7 @@
         self.log = log
         self.remotes: dict[bytes, RemoteExchange] = {}
         self.last_test_number = 0
+        self.last_connection_number = 0
 
     # ---- the list of exchanges ----
 
@@ -322,9 +324,18 @@
     # ---- connections ----
 
     def _serve(self, remote: RemoteExchange, link: Link) -> Coroutine:
-        connection = ExchangeConnection(link, self.loop.now)
+        self.last_connection_number += 1
+        connection = ExchangeConnection(link, self.last_connection_number, self.loop.now)
         remote.was_connected = True
         remote.connections.append(connection)
+        self.log(
+            "exchange_connected",
+            exchange=remote.address.decode(),
+            connection=connection.number,
+            open=len(remote.connections),
+            releases=len(remote.pending_releases),
+            queued=len(remote.queued_set_ups),
+        )
         self._check_connection(remote, connection)
         for call in list(remote.pending_releases):
             del remote.pending_releases[call]
@@ -347,6 +358,7 @@
             self.log(
                 "exchange_lost",
                 exchange=remote.address.decode(),
+                connection=connection.number,
                 reset=link.was_reset,
                 spoilt=framing_failed,
                 doubted=connection.suspect_since < math.inf,
@@ -397,6 +409,7 @@
         ):
             connection.suspect_since = now
             self.counters["lines_doubted"] += 1
+            self.log("exchange_suspect", exchange=remote.address.decode(), connection=connection.number)
             remote.client.replace_link()
         if self._is_dead(remote, connection, now):
             self.counters["lines_dead"] += 1
@@ -550,6 +563,7 @@
             raise ProtocolError("answer has no description parameter")
         if remote.open_set_ups.get(message.call) is not connection:
             self.counters["late_answers"] += 1
+            self._log_ignored(remote, connection, message)
             return
         del remote.open_set_ups[message.call]
         self.core.on_answer(message.call, remote.address, description)
@@ -574,12 +588,26 @@
             # Ends an earlier attempt, or refuses a set-up that was never sent: not the end of a standing
             # call.
             self.counters["ends_unasked"] += 1
+            self._log_ignored(remote, connection, message)
             return
         else:
             outcome = interface.Outcome.OK if cause == Cause.NORMAL else interface.Outcome.RESET
             end = AttemptEnd(outcome, report=self._report_values(message))
         self.core.on_end(message.call, remote.address, end)
 
+    def _log_ignored(self, remote: RemoteExchange, connection: ExchangeConnection, message: Message) -> None:
+        """Logs an answer or a release that concerns no attempt of its connection."""
+        owner = remote.open_set_ups.get(message.call)
+        self.log(
+            "message_ignored",
+            exchange=remote.address.decode(),
+            connection=connection.number,
+            call=f"{message.call:016x}",
+            type=Type(message.type).name,
+            cause=message.cause if message.type == Type.REL else None,
+            open_on=owner.number if owner is not None else None,
+        )
+
     def _on_test_result(self, remote: RemoteExchange, message: Message) -> None:
         probe = remote.probes.pop(message.call, None)
         if probe is not None:
--- a/ospreyvale/fronts/sip.py
+++ b/ospreyvale/fronts/sip.py
@@ -247,6 +247,10 @@
         self.active_connections.pop(caller, None)
         if caller.peer_ended and caller.open_set_ups:
             return  # half-closed: open set-ups are answered first, then `_close_if_unneeded` closes it
+        if caller.open_set_ups:
+            self.log(
+                "caller_lost", reset=link.was_reset, calls=[f"{call:016x}" for call in caller.open_set_ups]
+            )
         for call in list(caller.open_set_ups):
             self._remove_set_up(call)
             self.core.give_up(call)
--- a/ospreyvale/operations/structured.py
+++ b/ospreyvale/operations/structured.py
@@ -18,6 +18,8 @@
 # Levels of the events that are not logged at info.
 LEVEL_OF: Mapping[str, str] = {
     "call": "debug",
+    "attempt_ended": "debug",
+    "attempt_repeated": "debug",
     "fault": "error",
     "reload_refused": "warning",
     "timing_refused": "warning",
--- a/ospreyvale/routing/control.py
+++ b/ospreyvale/routing/control.py
@@ -346,9 +346,14 @@
         if event.settled or record.done:
             self._close_record(record)
         elif cause is interface.Cause.LINES_BUSY:
-            self._answer_call(record, interface.Refuse(event.call, self.settings.max_retry_after_ms))
+            self._answer_call(
+                record,
+                interface.Refuse(
+                    event.call, self.settings.max_retry_after_ms, interface.RefusalReason.NUMBER_BUSY
+                ),
+            )
         elif record.stands or now >= record.deadline_at - 1.0:
-            self._answer_call(record, interface.Fail(event.call))
+            self._answer_call(record, interface.Fail(event.call, interface.RefusalReason.EXPIRED))
         else:
             retry_at = record.plan.on_attempt_ended(
                 now, in_doubt, event.outcome is not interface.Outcome.MOOT
@@ -605,14 +610,16 @@
         call = record.call
         value_class = record.value_class
         destination = self.remotes.get(call.destination)
-        if (
-            destination is None
-            or not destination.ready
-            or record.attempts >= self.settings.max_attempts
-            or record.plan.exhausted
-            or self._is_number_busy(now, call.number)
-        ):
-            return self._answer_call(record, interface.Refuse(call.call, self.settings.max_retry_after_ms))
+        reason = self._unroutable_reason(now, record, destination)
+        if reason is not None or destination is None:
+            return self._answer_call(
+                record,
+                interface.Refuse(
+                    call.call,
+                    self.settings.max_retry_after_ms,
+                    reason or interface.RefusalReason.UNKNOWN_DESTINATION,
+                ),
+            )
         # The hold of the own exchange lets one set-up a second through: without probes nothing else can
         # clear it.
         own_trial = not self.settings.probing and not call.transit and now >= self.own_exchange.trial_due_at
@@ -652,11 +659,32 @@
         )
         if call.transit or now >= record.wait_until:
             return self._answer_call(
-                record, interface.Refuse(call.call, self.settings.max_retry_after_ms if closed else 0.0)
+                record,
+                interface.Refuse(
+                    call.call,
+                    self.settings.max_retry_after_ms if closed else 0.0,
+                    interface.RefusalReason.HELD if closed else interface.RefusalReason.NO_ROUTE,
+                ),
             )
         self.waiting[call.call] = record
         return False
 
+    def _unroutable_reason(
+        self, now: float, record: CallRecord, destination: ExchangeState | None
+    ) -> interface.RefusalReason | None:
+        """Returns why no set-up may be sent for the call any more; None if one may."""
+        if destination is None:
+            return interface.RefusalReason.UNKNOWN_DESTINATION
+        if not destination.ready:
+            return interface.RefusalReason.DESTINATION_NOT_READY
+        if record.attempts >= self.settings.max_attempts:
+            return interface.RefusalReason.ATTEMPTS_USED
+        if record.plan.exhausted:
+            return interface.RefusalReason.TIMING_POLICY
+        if self._is_number_busy(now, record.call.number):
+            return interface.RefusalReason.NUMBER_BUSY
+        return None
+
     def _tandems_toward(self, destination: int) -> OrderedDict[ExchangeState, tuple[float, float]]:
         """Returns the tandems toward a destination, at first in a pseudo-random order fixed for the pair."""
         if destination not in self.tandem_order:
--- a/ospreyvale/routing/core.py
+++ b/ospreyvale/routing/core.py
@@ -203,6 +203,7 @@
         held = self.other_process is not None and self.other_process.holds(call)
         if held or call in self.context.call_table.calls or self.context.call_table.has_ended(call):
             self.context.counters["late_ends"] += 1
+            self.context.log("late_end", call=f"{call:016x}", outcome=outcome.value)
         elif self.orphan_port is not None and outcome in (interface.Outcome.OK, interface.Outcome.RESET):
             # After a restart the calls of the former process are unknown here, but their callers still exist.
             self.context.counters["orphans_released"] += 1
@@ -230,7 +231,7 @@
             # The call waited in the decision module, which has not answered it yet: its timer tick is late,
             # as the event loop is.
             self.context.counters["expired_waiting"] += 1
-            relay_final(self.context, state, Final.FAILED)
+            relay_final(self.context, state, Final.FAILED, interface.RefusalReason.EXPIRED)
             self._notify_control(interface.Abandoned(state.call))
 
     def _notify_control(self, event: interface.Event) -> None:
@@ -255,10 +256,13 @@
                     self.context,
                     self.context.call_table.calls[action.call],
                     Final.REFUSED,
+                    action.reason,
                     action.retry_after_ms,
                 )
             case interface.Fail() if action.call in self.context.call_table.calls:
-                relay_final(self.context, self.context.call_table.calls[action.call], Final.FAILED)
+                relay_final(
+                    self.context, self.context.call_table.calls[action.call], Final.FAILED, action.reason
+                )
             case interface.Cancel() if action.call in self.context.call_table.calls:
                 state = self.context.call_table.calls[action.call]
                 if (
--- a/ospreyvale/routing/interface.py
+++ b/ospreyvale/routing/interface.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 Address = bytes  # opaque name of one machine; equal bytes name the same machine
@@ -35,6 +35,20 @@
     CRANKBACK_FULL = 18  # a tandem turned the call back: the processor of the destination is full
 
 
+class RefusalReason(Enum):
+    """Why a call was refused or failed, for the log; it has no effect on the call."""
+
+    UNSPECIFIED = ""
+    UNKNOWN_DESTINATION = "unknown_destination"
+    DESTINATION_NOT_READY = "destination_not_ready"  # draining or gone
+    ATTEMPTS_USED = "attempts_used"  # as many attempts as the settings allow
+    TIMING_POLICY = "timing_policy"  # which allows no further attempt
+    NUMBER_BUSY = "number_busy"
+    HELD = "held"  # by a hold of the own or the remote exchange, until its wait was over
+    NO_ROUTE = "no_route"  # no circuit, tandem or share of a cold exchange, until its wait was over
+    EXPIRED = "expired"  # the caller's time is over
+
+
 class Condition(Enum):
     """The condition of an exchange in the roster."""
 
@@ -237,6 +251,7 @@
 
     call: int
     retry_after_ms: float
+    reason: RefusalReason = field(default=RefusalReason.UNSPECIFIED, repr=False, compare=False)  # for the log
 
 
 @dataclass(frozen=True, slots=True)
@@ -244,6 +259,7 @@
     """End the call as failed."""
 
     call: int
+    reason: RefusalReason = field(default=RefusalReason.UNSPECIFIED, repr=False, compare=False)  # for the log
 
 
 @dataclass(frozen=True, slots=True)
--- a/ospreyvale/routing/stages/relay.py
+++ b/ospreyvale/routing/stages/relay.py
@@ -45,8 +45,10 @@
     now = context.clock.now
     attempt = context.call_table.end_attempt(now, state, end.outcome)
     context.counters[f"{'calls' if stood else 'attempts'}_{end.outcome.value}"] += 1
-    if not stood and end.outcome is not interface.Outcome.MOOT:
-        record_set_up_time(context, state, attempt, "in_doubt" if end.outcome in IN_DOUBT else "refused")
+    if not stood:
+        log_attempt_end(context, state, attempt, end.outcome, end.cause)
+        if end.outcome is not interface.Outcome.MOOT:
+            record_set_up_time(context, state, attempt, "in_doubt" if end.outcome in IN_DOUBT else "refused")
     if stood:
         state.caller.release(state.call, end.outcome)
         finish_call(context, state, end.outcome.value)
@@ -65,6 +67,25 @@
     )
 
 
+def log_attempt_end(
+    context: Context,
+    state: CallState,
+    attempt: Attempt,
+    outcome: interface.Outcome,
+    cause: interface.Cause = interface.Cause.NONE,
+) -> None:
+    """Logs the end of an attempt that was not answered."""
+    context.log(
+        "attempt_ended",
+        call=f"{state.call:016x}",
+        attempt=attempt.number,
+        exchange=attempt.exchange.address.decode("latin-1"),
+        outcome=outcome.value,
+        cause=cause.name.lower(),
+        ms=round(context.clock.now - attempt.sent_at),
+    )
+
+
 def record_set_up_time(context: Context, state: CallState, attempt: Attempt, end: str) -> None:
     """Records how long the attempt took, for the planner of attempt waits."""
     if context.set_up_times is not None:
@@ -79,7 +100,13 @@
         )
 
 
-def relay_final(context: Context, state: CallState, final: Final, back_off_ms: float = 0.0) -> None:
+def relay_final(
+    context: Context,
+    state: CallState,
+    final: Final,
+    reason: interface.RefusalReason,
+    back_off_ms: float = 0.0,
+) -> None:
     """Passes the refusal or failure on which the decision module decided to the caller."""
     if not context.call_table.set_final(state, final):
         return
@@ -90,7 +117,7 @@
         state.caller.refuse(state.call, back_off_ms)
     else:
         state.caller.fail(state.call)
-    finish_call(context, state, final.value)
+    finish_call(context, state, final.value, reason)
 
 
 def relay_hang_up(context: Context, state: CallState) -> None:
--- a/ospreyvale/routing/stages/send.py
+++ b/ospreyvale/routing/stages/send.py
@@ -7,7 +7,7 @@
 from ospreyvale.routing import interface
 from ospreyvale.routing.context import Context
 from ospreyvale.routing.exchange_table import ExchangeEntry
-from ospreyvale.routing.stages.relay import record_set_up_time
+from ospreyvale.routing.stages.relay import log_attempt_end, record_set_up_time
 from ospreyvale.routing.state import CallState, SetUpOrder
 
 
@@ -26,6 +26,14 @@
         wait_ms = timeout_ms
         attempt.timer = context.clock.call_at(now + wait_ms, lambda: on_expiry(state))
     context.counters["set_ups_sent"] += 1
+    if attempt.number > 0:
+        context.counters["set_ups_retried"] += 1
+        context.log(
+            "attempt_repeated",
+            call=f"{state.call:016x}",
+            attempt=attempt.number,
+            exchange=entry.exchange.address.decode("latin-1"),
+        )
     entry.port.set_up(SetUpOrder(state.offer, entry.exchange.address, wait_ms))
 
 
@@ -34,6 +42,7 @@
     now = context.clock.now
     attempt = context.call_table.end_attempt(now, state, outcome)
     attempt.port.cancel(state.call, attempt.exchange.address)
+    log_attempt_end(context, state, attempt, outcome)
     record_set_up_time(context, state, attempt, "in_doubt")
     context.counters[f"attempts_{outcome.value}"] += 1
     context.notify_control(
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -239,7 +239,8 @@
     assert scenario.old.handover_source.target_channel is not None
     scenario.old.handover_source.target_channel.close()  # as after SIGKILL
     scenario.wait_until(lambda: (504, 0xB1) in scenario.caller_messages())
-    assert scenario.events(1)[-1] == "replaced" and new.core.other_process is None
+    events = [event for event in scenario.events(1) if event != "exchange_connected"]
+    assert events[-1] == "replaced" and new.core.other_process is None
     scenario.send_request("INVITE", 0xB1)  # the call id is free again
     scenario.wait_until(lambda: scenario.exchange_messages().count((Type.IAM, 0xB1)) == 2)
     new._shut_down()
