Fault runs of the real program, and failing tests of two attempts out at once

lab/faults starts the real program between stand-in callers, exchanges and an event bus on loopback sockets: answers spoilt, cut, repeated and in pieces, connections reset or silent, exchanges that end and come back, drains, a silent or absent bus, crowds, SIGSTOP, SIGHUP, SIGTERM with SIGKILL at the earliest, SIGKILL. A checker reads what the peers observed.

--- /dev/null
+++ b/lab/faults/record.py
@@ -0,0 +1,123 @@
+"""What peers of the program observe of its calls, and the rules that they check.
+
+Times are Unix milliseconds.  The checks use this record alone, and no state of the program.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from itertools import pairwise
+
+RELEASE_MS = 300.0  # the shortest time from an attempt in doubt to the next one of its call
+SLACK_MS = 50.0  # by which a time limit may be exceeded
+# A set-up that arrives later than this after SIGTERM need not be answered before SIGKILL.
+TERM_SERVICE_MS = 700.0
+# A caller sends its set-up again if the connection was closed so shortly after it was sent.
+CROSSING_MS = 50.0
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One set-up at one exchange, from its arrival until its end is written or it is given up."""
+
+    call: int
+    exchange: str
+    arrived_at: float
+    ended_at: float = 0.0  # 0: it is out
+    end: str = ""
+    in_doubt: bool = False  # the exchange may hold its circuits for some time
+
+    @property
+    def out(self) -> bool:
+        """Whether the attempt has not ended."""
+        return not self.ended_at
+
+    def finish(self, now: float, end: str, in_doubt: bool = False) -> None:
+        """Ends the attempt, unless it has ended."""
+        if self.out:
+            self.ended_at = now
+            self.end = end
+            self.in_doubt = in_doubt
+
+
+@dataclass(slots=True)
+class ObservedCall:
+    """One call of a caller."""
+
+    call: int
+    offered_at: float
+    patience_ms: float
+    answers: list[tuple[float, int]] = field(default_factory=list)  # time and status
+    given_up_at: float = 0.0  # 0: the caller waits
+    lost_at: float = 0.0  # when its connection ended before the answer; 0: it did not
+
+
+@dataclass(slots=True)
+class Record:
+    """Everything that the peers of one program observed."""
+
+    attempts: list[Attempt] = field(default_factory=list)
+    calls: dict[int, ObservedCall] = field(default_factory=dict)
+    terminated_at: list[float] = field(default_factory=list)  # SIGTERM
+    killed_at: list[float] = field(default_factory=list)  # SIGKILL without SIGTERM
+    crashes: list[str] = field(default_factory=list)
+    pauses_ms: float = 0.0  # for which the program was stopped in all
+
+    def arrive(self, call: int, exchange: str, now: float) -> Attempt:
+        """Records the arrival of a set-up at an exchange."""
+        attempt = Attempt(call, exchange, now)
+        self.attempts.append(attempt)
+        return attempt
+
+    def find_faults(self) -> list[str]:
+        """Returns one text for each broken rule."""
+        by_call: dict[int, list[Attempt]] = {}
+        for attempt in self.attempts:
+            by_call.setdefault(attempt.call, []).append(attempt)
+        faults = list(self.crashes)
+        for attempts in by_call.values():
+            faults += check_attempts(attempts)
+        for call in self.calls.values():
+            faults += self._check_answers(call)
+        return faults
+
+    def _check_answers(self, call: ObservedCall) -> list[str]:
+        """Checks that a call got one final answer in time, unless its caller or the program ended before."""
+        name = f"call {call.call:016x}"
+        if len(call.answers) > 1:
+            return [f"answers: {name} got {len(call.answers)} final answers"]
+        due_at = call.offered_at + call.patience_ms + SLACK_MS + self.pauses_ms
+        if call.answers:
+            late_ms = call.answers[0][0] - due_at
+            return [f"late: {name} was answered {late_ms:.0f} ms late"] if late_ms > 0.0 else []
+        if call.given_up_at and call.given_up_at <= due_at:
+            return []
+        if call.lost_at and self._may_be_lost(call):
+            return []
+        return [f"lost: {name}, offered at {call.offered_at:.0f}, got no final answer"]
+
+    def _may_be_lost(self, call: ObservedCall) -> bool:
+        """Whether the program owed the call no answer when its connection ended."""
+        if call.lost_at <= call.offered_at + CROSSING_MS:
+            return True
+        if any(call.offered_at <= killed_at <= call.lost_at + SLACK_MS for killed_at in self.killed_at):
+            return True
+        return any(
+            terminated_at + TERM_SERVICE_MS < call.offered_at <= call.lost_at
+            for terminated_at in self.terminated_at
+        )
+
+
+def check_attempts(attempts: list[Attempt]) -> list[str]:
+    """Checks the attempts of one call: one out at a time, and the wait after one in doubt."""
+    faults = []
+    order = sorted(attempts, key=lambda attempt: attempt.arrived_at)
+    for earlier, later in pairwise(order):
+        gap = f"{later.exchange} {later.arrived_at - earlier.arrived_at:.0f} ms after {earlier.exchange}"
+        name = f"call {earlier.call:016x}"
+        if earlier.out or earlier.ended_at > later.arrived_at:
+            faults.append(f"duplicate: {name} at {gap}, which had not ended")
+        elif earlier.in_doubt and later.arrived_at < earlier.ended_at + RELEASE_MS - SLACK_MS:
+            since_end_ms = later.arrived_at - earlier.ended_at
+            faults.append(f"release: {name} at {gap}, {since_end_ms:.0f} ms after its end ({earlier.end})")
+    return faults
--- /dev/null
+++ b/tests/test_fault_runs.py
@@ -0,0 +1,67 @@
+"""Short seeded fault runs of the real program, and the checker of these runs."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from lab.faults.record import Attempt, ObservedCall, Record
+from lab.faults.scenario import play
+
+SEEDS = list(range(1, 11))  # longer runs: python -m lab.faults
+DURATION_MS = 12_000.0
+CALL = 0xB1
+NOW = 1_000_000.0
+
+
+def test_no_rule_is_broken_under_faults(tmp_path: Path) -> None:
+    """Guards against two attempts out at once, lost calls and crashes when faults of all kinds overlap."""
+    results = play(SEEDS, DURATION_MS, tmp_path)
+    assert [(result.seed, result.faults) for result in results if result.faults] == []
+    assert all(result.calls > 50 and result.attempts > 50 for result in results)
+    troubles = sum((result.troubles for result in results), start=results[0].troubles.__class__())
+    assert {"hang", "reset_lines", "restart_exchange", "restart_program", "kill_program"} <= set(troubles)
+
+
+def attempt(arrived_ms: float, ended_ms: float, in_doubt: bool = False) -> Attempt:
+    """Returns an attempt of CALL with its times after NOW; `ended_ms` 0 stands for one that is out."""
+    ended_at = NOW + ended_ms if ended_ms else 0.0
+    return Attempt(CALL, "s-00000001", NOW + arrived_ms, ended_at, "end", in_doubt)
+
+
+@pytest.mark.parametrize(
+    ("attempts", "rule"),
+    [
+        ([attempt(0.0, 50.0), attempt(49.0, 90.0)], "duplicate"),
+        ([attempt(0.0, 0.0), attempt(400.0, 450.0)], "duplicate"),
+        ([attempt(0.0, 50.0, in_doubt=True), attempt(290.0, 320.0)], "release"),
+        ([attempt(0.0, 50.0, in_doubt=True), attempt(351.0, 390.0)], None),
+        ([attempt(0.0, 50.0), attempt(51.0, 90.0)], None),
+    ],
+)
+def test_the_checker_finds_attempts_at_once_and_too_soon(attempts: list[Attempt], rule: str | None) -> None:
+    faults = Record(attempts=attempts).find_faults()
+    assert [fault.split(":")[0] for fault in faults] == ([rule] if rule else [])
+
+
+@pytest.mark.parametrize(
+    ("call", "terminated_ms", "rule"),
+    [
+        (ObservedCall(CALL, NOW, 900.0), None, "lost"),
+        (ObservedCall(CALL, NOW, 900.0, [(NOW + 5.0, 200), (NOW + 9.0, 200)]), None, "answers"),
+        (ObservedCall(CALL, NOW, 900.0, [(NOW + 960.0, 504)]), None, "late"),
+        (ObservedCall(CALL, NOW, 900.0, [(NOW + 940.0, 504)]), None, None),
+        (ObservedCall(CALL, NOW, 900.0, given_up_at=NOW + 300.0), None, None),
+        (ObservedCall(CALL, NOW, 900.0, lost_at=NOW + 400.0), None, "lost"),
+        (ObservedCall(CALL, NOW, 900.0, lost_at=NOW + 40.0), None, None),
+        (ObservedCall(CALL, NOW, 900.0, lost_at=NOW + 400.0), -600.0, "lost"),
+        (ObservedCall(CALL, NOW, 900.0, lost_at=NOW + 400.0), -800.0, None),
+    ],
+)
+def test_the_checker_finds_lost_late_and_repeated_answers(
+    call: ObservedCall, terminated_ms: float | None, rule: str | None
+) -> None:
+    terminated_at = [NOW + terminated_ms] if terminated_ms is not None else []
+    faults = Record(calls={CALL: call}, terminated_at=terminated_at).find_faults()
+    assert [fault.split(":")[0] for fault in faults] == ([rule] if rule else [])
