A release that may concern an earlier attempt no longer ends the open one

Cause: messages from exchanges name a call and not an attempt. The answer to attempt 1 was lost with its connection, so the call stood at the exchange; its release (cause 16) came on the next connection while attempt 2 was open there. IsupExchanges._on_release took any release on the connection of the set-up for its end; OUTCOME_BY_CAUSE has no NORMAL, so the outcome was ERROR, which is not in doubt, and the decision module sent attempt 3 at once.

Excluded: answers and ends on another connection (matched by connection), time-outs and resets (300 ms), the decision module (it never sends while an attempt is open).

Change: the port remembers attempts that ended without the exchange's word (given up, or lost with their connection). A normal end before the answer is ignored for such a call. A cut, or a refusal on the connection of the earlier attempt, does not prove which attempt it ends: the open one is given up and counts as in doubt. The same holds for a standing call: its caller is told, and it is released at the exchange as well.

--- a/ospreyvale/exchanges/isup.py
+++ b/ospreyvale/exchanges/isup.py
@@ -10,7 +10,9 @@
 import math
 from collections import Counter, deque
 from collections.abc import Callable
+from dataclasses import replace
 
+from ospreyvale.exchanges.unconfirmed import UnconfirmedAttempts
 from ospreyvale.protocol import eventbus, isup
 from ospreyvale.protocol.errors import ProtocolError
 from ospreyvale.protocol.isup import Cause, Code, Message, Type
@@ -112,6 +114,7 @@
         self.connections: list[ExchangeConnection] = []  # at most MAX_CONNECTIONS, the newest last
         # Set-ups sent and not ended, with their connection.
         self.open_set_ups: dict[int, ExchangeConnection] = {}
+        self.unconfirmed = UnconfirmedAttempts()
         self.queued_set_ups: dict[int, SetUpOrder] = {}  # set-ups that wait for a connection
         self.pending_releases: dict[int, None] = {}  # releases that wait for a connection
         # Unanswered probes: send time and connection.
@@ -296,7 +299,12 @@
             return
         connection = remote.open_set_ups.pop(call, None)
         if connection is not None:
-            connection.link.send(self._encode_release(call))
+            self._give_up_set_up(remote, connection, call)
+
+    def _give_up_set_up(self, remote: RemoteExchange, connection: ExchangeConnection, call: int) -> None:
+        """Releases a set-up that is out; a message about it may be on its way."""
+        connection.link.send(self._encode_release(call))
+        remote.unconfirmed.add(call, connection.number, self.loop.now)
 
     def release(self, call: int, address: bytes) -> None:
         """Releases a standing call, now or when a connection is up."""
@@ -472,6 +480,7 @@
             self.core.on_probe_result(remote.address, interface.Outcome.FULL, 0.0)
         for call in [call for call, owner in remote.open_set_ups.items() if owner is connection]:
             del remote.open_set_ups[call]
+            remote.unconfirmed.add(call, connection.number, self.loop.now)
             if release_set_ups:
                 self._send_release(remote, call)
             self._end_set_up(remote.address, call, interface.Outcome.RESET)
@@ -569,31 +578,69 @@
         self.core.on_answer(message.call, remote.address, description)
 
     def _on_release(self, remote: RemoteExchange, connection: ExchangeConnection, message: Message) -> None:
+        call = message.call
         cause = message.cause
-        if remote.open_set_ups.get(message.call) is connection:
-            end = AttemptEnd(
-                OUTCOME_BY_CAUSE.get(Cause(cause), interface.Outcome.ERROR)
-                if cause in set(Cause)
-                else interface.Outcome.ERROR,
-                CAUSE_BY_NOTE.get(message.text(Code.NOTE), interface.Cause.NONE),
-                message.number(Code.BACK_OFF),
-                self._report_values(message),
-            )
-            del remote.open_set_ups[message.call]
-        elif (
-            message.call in remote.open_set_ups
-            or message.call in remote.queued_set_ups
-            or cause not in (Cause.NORMAL, Cause.TEMPORARY_FAILURE)
-        ):
+        may_end_standing_call = cause in (Cause.NORMAL, Cause.TEMPORARY_FAILURE)
+        if remote.open_set_ups.get(call) is connection:
+            self._on_set_up_released(remote, connection, message)
+        elif call in remote.open_set_ups or call in remote.queued_set_ups or not may_end_standing_call:
             # Ends an earlier attempt, or refuses a set-up that was never sent: not the end of a standing
             # call.
             self.counters["ends_unasked"] += 1
             self._log_ignored(remote, connection, message)
-            return
         else:
             outcome = interface.Outcome.OK if cause == Cause.NORMAL else interface.Outcome.RESET
-            end = AttemptEnd(outcome, report=self._report_values(message))
-        self.core.on_end(message.call, remote.address, end)
+            if call in remote.unconfirmed and self.core.stands_at(call, remote.address):
+                # It may concern an earlier attempt: what stands is released at the exchange too.
+                self.counters["ends_ambiguous"] += 1
+                self._send_release(remote, call)
+            self.core.on_end(call, remote.address, AttemptEnd(outcome, report=self._report_values(message)))
+
+    def _on_set_up_released(
+        self, remote: RemoteExchange, connection: ExchangeConnection, message: Message
+    ) -> None:
+        """Handles a release of a call whose set-up is out on this connection."""
+        call = message.call
+        if message.cause == Cause.NORMAL and call in remote.unconfirmed:
+            # The end of a call that stood: an earlier attempt was answered, and the answer was lost.
+            self.counters["ends_stale"] += 1
+            self._log_ignored(remote, connection, message)
+            return
+        end = self._set_up_end(message)
+        del remote.open_set_ups[call]
+        if not self._ends_open_attempt(remote, connection, message):
+            self.counters["ends_ambiguous"] += 1
+            self._give_up_set_up(remote, connection, call)
+            end = replace(end, outcome=interface.Outcome.RESET)
+        self.core.on_end(call, remote.address, end)
+
+    @staticmethod
+    def _ends_open_attempt(remote: RemoteExchange, connection: ExchangeConnection, message: Message) -> bool:
+        """Returns whether a release proves that the set-up on its connection has ended.
+
+        It does not if it can concern an earlier attempt of the call.  A refusal of that attempt is sent on
+        its own connection only, the end of a call on any.  A normal end before the answer is against the
+        protocol.
+        """
+        match message.cause:
+            case Cause.NORMAL:
+                return False
+            case Cause.TEMPORARY_FAILURE:
+                return message.call not in remote.unconfirmed
+            case _:
+                return not remote.unconfirmed.was_on(message.call, connection.number)
+
+    def _set_up_end(self, message: Message) -> AttemptEnd:
+        """Returns how a release ends a set-up."""
+        known_cause = message.cause in set(Cause)
+        return AttemptEnd(
+            OUTCOME_BY_CAUSE.get(Cause(message.cause), interface.Outcome.ERROR)
+            if known_cause
+            else interface.Outcome.ERROR,
+            CAUSE_BY_NOTE.get(message.text(Code.NOTE), interface.Cause.NONE),
+            message.number(Code.BACK_OFF),
+            self._report_values(message),
+        )
 
     def _log_ignored(self, remote: RemoteExchange, connection: ExchangeConnection, message: Message) -> None:
         """Logs an answer or a release that concerns no attempt of its connection."""
--- a/ospreyvale/routing/core.py
+++ b/ospreyvale/routing/core.py
@@ -119,6 +119,11 @@
 
     # ---- the exchanges' side ----
 
+    def stands_at(self, call: int, address: bytes) -> bool:
+        """Returns whether a call stands at an exchange."""
+        state = self._find_call_with_attempt(call, address)
+        return state is not None and state.standing
+
     def on_answer(self, call: int, address: bytes, description: bytes) -> bool:
         """An exchange answered; returns False if no attempt waits for that answer any more."""
         state = self._find_call_with_attempt(call, address)
