An attempt that the core ends at the end of an exchange is given up at its port

What callers could see: two set-ups of one call out at once after an exchange went away.

Cause: Core.on_exchange_reset ended attempts as reset without telling the port. IsupExchanges._on_dial_failed first fails the queued set-ups; the decision module sends a call of high worth again at once, so it is queued again; then on_exchange_reset ended that fresh attempt in the core only. The next connection sent it from the queue, and 300 ms after the reset the core sent the call again. The same through update_exchanges, when the list tells of a restart while a set-up is queued.

Change: on_exchange_reset gives each open attempt up at its port (queue or REL), and a failed dial ends only what was sent before it.

--- a/ospreyvale/exchanges/isup.py
+++ b/ospreyvale/exchanges/isup.py
@@ -496,7 +496,8 @@
         if remote.was_connected and not remote.connections:
             # It was connected and cannot be dialled now: its process has ended, and with it every call there.
             remote.was_connected = False
-            self.core.on_exchange_reset(remote.address)
+            # A set-up that was queued again just now was never sent there.
+            self.core.on_exchange_reset(remote.address, sent_before=self.loop.now)
 
     def _on_connect_timeout(self, remote: RemoteExchange, order: SetUpOrder) -> None:
         if remote.queued_set_ups.get(order.offer.call) is order:
--- a/ospreyvale/routing/core.py
+++ b/ospreyvale/routing/core.py
@@ -174,14 +174,17 @@
         self._notify_control(interface.Roster(True, self.context.exchange_table.exchanges()))
 
     def on_exchange_reset(self, address: bytes, sent_before: float = math.inf) -> None:
-        """The process of an exchange has ended: ends what was sent there before a time as reset."""
+        """The process of an exchange has ended: ends what was sent there before a time as reset.
+
+        Open attempts are given up at their port too, which may still hold them in a queue.
+        """
         for state in list(self.context.call_table.calls.values()):
-            if (
-                state.attempt is not None
-                and state.attempt.exchange.address == address
-                and state.attempt.sent_at < sent_before
-            ):
-                relay_end(self.context, state, AttemptEnd(interface.Outcome.RESET))
+            attempt = state.attempt
+            if attempt is None or attempt.exchange.address != address or attempt.sent_at >= sent_before:
+                continue
+            if not state.standing:
+                attempt.port.cancel(state.call, address)
+            relay_end(self.context, state, AttemptEnd(interface.Outcome.RESET))
 
     # ---- the operators' side ----
 
