Set-ups are released at their exchange however their connection ended

Seen in the incident: an attempt whose answer was cut by a closed or reset connection stood at the exchange, unknown to the controller, until its natural end. Circuits were held, and its release came into the next attempt.

Cause: IsupExchanges._on_connection_lost sent the releases only if the framing had failed or the connection was suspect. An answer can be lost on any connection that ends: in part (closed by the exchange or a proxy) or whole (a reset discards what was not read).

Change: every set-up that was open on a lost connection is released there, on the next connection before anything else. An exchange that does not know the call ignores it, as after a restart of the controller.

--- a/ospreyvale/exchanges/isup.py
+++ b/ospreyvale/exchanges/isup.py
@@ -373,9 +373,7 @@
                 open=sum(owner is connection for owner in remote.open_set_ups.values()),
             )
             self.counters["exchanges_lost"] += 1
-            self._on_connection_lost(
-                remote, connection, release_set_ups=framing_failed or connection.suspect_since < math.inf
-            )
+            self._on_connection_lost(remote, connection)
 
     def _check_connection(self, remote: RemoteExchange, connection: ExchangeConnection) -> None:
         """Tests, suspects and closes a connection that may be dead although it is still open.
@@ -465,13 +463,11 @@
             DEAD_AFTER_MS if successor_receives else DEAD_WITHOUT_SUCCESSOR_MS
         )
 
-    def _on_connection_lost(
-        self, remote: RemoteExchange, connection: ExchangeConnection, release_set_ups: bool = False
-    ) -> None:
+    def _on_connection_lost(self, remote: RemoteExchange, connection: ExchangeConnection) -> None:
         """Ends the set-ups that were open on a lost connection; standing calls go on.
 
-        With `release_set_ups`, answers may have been lost on it: each set-up is released at the exchange,
-        because it may stand there unnoticed.
+        Answers may have been lost on it, however it ended: each set-up is released at the exchange, because
+        its call may stand there unnoticed.
         """
         remote.connections.remove(connection)
         for number in [number for number, (_, owner) in remote.probes.items() if owner is connection]:
@@ -481,8 +477,7 @@
         for call in [call for call, owner in remote.open_set_ups.items() if owner is connection]:
             del remote.open_set_ups[call]
             remote.unconfirmed.add(call, connection.number, self.loop.now)
-            if release_set_ups:
-                self._send_release(remote, call)
+            self._send_release(remote, call)
             self._end_set_up(remote.address, call, interface.Outcome.RESET)
 
     def _fail_queued_set_ups(self, remote: RemoteExchange) -> None:
