Fault runs check drains and releases to callers, and replace exchanges

The checker also finds set-ups more than 250 ms after the notice of a drain and calls that stood and were not released to their caller within 1 s; each check is tested with a case that breaks it. New troubles: exchanges that are replaced under a new id, and that refuse connections while their calls go on. A stand-in exchange returns the release of a call that stood, with cause 31, as some exchanges do.

--- a/lab/faults/callers.py
+++ b/lab/faults/callers.py
@@ -154,5 +154,9 @@
             if observed is not None and not observed.given_up_at:
                 observed.answers.append((self.loop.now, message.status))
                 line.unanswered.pop(message.call, None)
-        elif message.method == "BYE" and not line.inside_message:
-            line.link.send(sip.encode_response(message, 200))
+        elif message.method == "BYE":
+            observed = self.record.calls.get(message.call)
+            if observed is not None and not observed.released_at:
+                observed.released_at = self.loop.now
+            if not line.inside_message:
+                line.link.send(sip.encode_response(message, 200))
--- a/lab/faults/discovery.py
+++ b/lab/faults/discovery.py
@@ -4,6 +4,7 @@
 
 import socket
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ospreyvale.protocol.eventbus import FrameKind, Target
@@ -70,7 +71,14 @@
 class EventBus:
     """Keeps the events and sends each new one on every connection."""
 
-    def __init__(self, network: Network, address: Address, targets: tuple[Target, ...]) -> None:
+    def __init__(
+        self,
+        network: Network,
+        address: Address,
+        targets: tuple[Target, ...],
+        on_sent: Callable[[BusEvent], None],
+    ) -> None:
+        self.on_sent = on_sent
         self.network = network
         self.loop = network.loop
         self.address = address
@@ -109,8 +117,8 @@
             return
         for link, sent_offset in list(self.links.items()):
             for event in self.events:
-                if event.offset > sent_offset:
-                    link.send(event.encode())
+                if event.offset > sent_offset and link.send(event.encode()):
+                    self.on_sent(event)
             self.links[link] = self.events[-1].offset
 
     def _send_heartbeats(self) -> None:
--- a/lab/faults/exchange.py
+++ b/lab/faults/exchange.py
@@ -20,6 +20,7 @@
 # Ends that exchanges give to set-ups which they do not carry out, with their probabilities.
 REFUSALS = {Cause.NO_CIRCUIT: 0.04, Cause.USER_BUSY: 0.01, Cause.TEMPORARY_FAILURE: 0.02}
 CUT_PROBABILITY = 0.05  # of a standing call
+CAUSE_OF_RETURNED_RELEASE = 31  # Q.850: normal, unspecified
 SILENCE_PROBABILITY = 0.02  # of a set-up that is never answered
 FAULTS_THAT_SPOIL = {AnswerFault.SPOILT, AnswerFault.CLOSED, AnswerFault.RESET}
 
@@ -77,6 +78,13 @@
         self.releases_for_next.clear()
         self.reset_lines()
 
+    def refuse(self) -> None:
+        """Refuses connections and resets those that are open; the exchange and its calls go on."""
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
+        self.reset_lines()
+
     def reset_lines(self) -> None:
         """Resets all connections, as a network does; the exchange and its calls go on."""
         for line in list(self.lines):
@@ -117,7 +125,7 @@
             case Type.IAM:
                 self._on_set_up(line, message)
             case Type.REL:
-                self._on_release(message.call)
+                self._on_release(line, message.call)
 
     def _on_set_up(self, line: FaultyLine, message: Message) -> None:
         attempt = self.record.arrive(message.call, self.name, self.loop.now)
@@ -151,6 +159,7 @@
         if fault is None:
             return  # hung: the attempt stays out until it is given up
         self.standing.append(call)
+        attempt.answered = fault not in FAULTS_THAT_SPOIL and fault is not AnswerFault.STALLED
         if fault is not AnswerFault.STALLED:
             self.open_attempts.pop(key, None)
             attempt.finish(self.loop.now, f"answer {fault.value}", fault in FAULTS_THAT_SPOIL)
@@ -168,16 +177,21 @@
         candidates = [call.line, *self.lines] if call.line in self.lines else list(self.lines)
         for line in candidates:
             if line.send(release):
+                call.attempt.released_at = self.loop.now
                 break
 
-    def _on_release(self, call: int) -> None:
-        """Ends whatever the call has here: an open attempt is given up, a standing call is cut."""
+    def _on_release(self, line: FaultyLine, call: int) -> None:
+        """Ends whatever the call has here: an open attempt is given up, a standing call is cut.
+
+        A call that stood is released in return.
+        """
         for key, (attempt, _) in list(self.open_attempts.items()):
             if attempt.call == call:
                 del self.open_attempts[key]
                 attempt.finish(self.loop.now, "given up", in_doubt=True)
         for standing in [standing for standing in self.standing if standing.attempt.call == call]:
             self.standing.remove(standing)
+            line.send(Message(Type.REL, call, {Code.CAUSE: bytes([CAUSE_OF_RETURNED_RELEASE])}))
 
     def _report_group(self, line: FaultyLine) -> None:
         free = CIRCUITS - len(self.standing) - len(self.open_attempts)
--- a/lab/faults/record.py
+++ b/lab/faults/record.py
@@ -5,15 +5,20 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from itertools import pairwise
 
 RELEASE_MS = 300.0  # the shortest time from an attempt in doubt to the next one of its call
+DRAIN_GRACE_MS = 250.0  # from the notice of a drain to the last set-up
+CALLER_RELEASE_MS = 1_000.0  # from the release by the exchange to the one toward the caller
 SLACK_MS = 50.0  # by which a time limit may be exceeded
 # A set-up that arrives later than this after SIGTERM need not be answered before SIGKILL.
 TERM_SERVICE_MS = 700.0
 # A caller sends its set-up again if the connection was closed so shortly after it was sent.
 CROSSING_MS = 50.0
+KILL_MS = 5_000.0  # at most, from SIGTERM to the end of the process
+STATUS_OK = 200
 
 
 @dataclass(slots=True)
@@ -26,6 +31,8 @@
     ended_at: float = 0.0  # 0: it is out
     end: str = ""
     in_doubt: bool = False  # the exchange may hold its circuits for some time
+    answered: bool = False  # with a whole answer
+    released_at: float = 0.0  # when the release of its call was written on an open connection; 0: it was not
 
     @property
     def out(self) -> bool:
@@ -50,6 +57,16 @@
     answers: list[tuple[float, int]] = field(default_factory=list)  # time and status
     given_up_at: float = 0.0  # 0: the caller waits
     lost_at: float = 0.0  # when its connection ended before the answer; 0: it did not
+    released_at: float = 0.0  # when the program released it; 0: it did not
+
+
+@dataclass(slots=True)
+class Drain:
+    """A time in which the program knew that an exchange accepts no set-ups."""
+
+    exchange: str
+    noticed_at: float
+    ended_at: float = math.inf  # when the exchange was listed as ready again
 
 
 @dataclass(slots=True)
@@ -58,6 +75,7 @@
 
     attempts: list[Attempt] = field(default_factory=list)
     calls: dict[int, ObservedCall] = field(default_factory=dict)
+    drains: list[Drain] = field(default_factory=list)
     terminated_at: list[float] = field(default_factory=list)  # SIGTERM
     killed_at: list[float] = field(default_factory=list)  # SIGKILL without SIGTERM
     crashes: list[str] = field(default_factory=list)
@@ -79,8 +97,35 @@
             faults += check_attempts(attempts)
         for call in self.calls.values():
             faults += self._check_answers(call)
+            faults += self._check_release(call, by_call.get(call.call, []))
+        for drain in self.drains:
+            faults += self._check_drain(drain)
         return faults
 
+    def _check_drain(self, drain: Drain) -> list[str]:
+        """Checks that no set-up was sent to an exchange after the program knew of its drain."""
+        last_at = drain.noticed_at + DRAIN_GRACE_MS + SLACK_MS + self.pauses_ms
+        return [
+            f"drain: call {attempt.call:016x} at {drain.exchange},"
+            f" {attempt.arrived_at - drain.noticed_at:.0f} ms after the notice"
+            for attempt in self.attempts
+            if attempt.exchange == drain.exchange and last_at < attempt.arrived_at < drain.ended_at
+        ]
+
+    def _check_release(self, call: ObservedCall, attempts: list[Attempt]) -> list[str]:
+        """Checks that a call that stood was released to its caller, unless the program ended meanwhile."""
+        if not attempts or not attempts[-1].answered or not attempts[-1].released_at:
+            return []
+        if not call.answers or call.answers[0][1] != STATUS_OK:
+            return []
+        due_at = attempts[-1].released_at + CALLER_RELEASE_MS + SLACK_MS + self.pauses_ms
+        ends = [*self.terminated_at, *self.killed_at]
+        if any(call.answers[0][0] <= ended_at + KILL_MS and ended_at <= due_at for ended_at in ends):
+            return []
+        if call.released_at and call.released_at <= due_at:
+            return []
+        return [f"release to caller: call {call.call:016x} was not released in time"]
+
     def _check_answers(self, call: ObservedCall) -> list[str]:
         """Checks that a call got one final answer in time, unless its caller or the program ended before."""
         name = f"call {call.call:016x}"
--- a/lab/faults/scenario.py
+++ b/lab/faults/scenario.py
@@ -2,20 +2,21 @@
 
 from __future__ import annotations
 
+import math
 import random
 import signal
 import socket
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 
 from lab.faults.callers import DEADLINES_MS, Callers
-from lab.faults.discovery import EventBus
+from lab.faults.discovery import BusEvent, EventBus
 from lab.faults.exchange import ExchangeStandIn
 from lab.faults.line import FaultRates
 from lab.faults.program import Program, build_config
-from lab.faults.record import Record
+from lab.faults.record import Drain, Record
 from ospreyvale.protocol import eventbus
 from ospreyvale.protocol.eventbus import Target
 from ospreyvale.transport.loop import Coroutine, Loop
@@ -87,10 +88,13 @@
             for name in names
         ]
         self.started_ms = [0] * len(names)
+        self.replacement_count = 0
+        self.ended_exchanges: list[ExchangeStandIn] = []
         self.bus = EventBus(
             network,
             free_address(),
             tuple(self._target(number, eventbus.READY) for number in range(len(names))),
+            self._on_event_sent,
         )
         self.listen_address = free_address()
         self.callers = Callers(
@@ -113,6 +117,20 @@
         uid = int(exchange.name.removeprefix("s-"), 16)
         return Target(uid, exchange.address, state, 0, number, self.started_ms[number])
 
+    def _on_event_sent(self, event: BusEvent) -> None:
+        """Records the notice of a drain, or its end."""
+        for target in event.targets:
+            current = [
+                drain
+                for drain in self.record.drains
+                if drain.exchange == target.name and drain.ended_at == math.inf
+            ]
+            if target.state == eventbus.READY:
+                for drain in current:
+                    drain.ended_at = self.loop.now
+            elif not current:
+                self.record.drains.append(Drain(target.name, self.loop.now))
+
     # ---- the run ----
 
     def _play(self) -> Coroutine:
@@ -142,12 +160,13 @@
         """Causes one trouble; the more frequent ones stand in the list more than once."""
         instant: list[Callable[[], None]] = [
             self._reset_lines,
-            self._reset_lines,
+            self._refuse_connections,
             self._hang,
             self._hang,
             self._restart_exchange,
             self._restart_exchange,
             self._drain,
+            self._replace_exchange,
             self._silence_bus,
             self._stop_bus,
             self._crowd,
@@ -177,7 +196,7 @@
         for event in self.program.events("fault"):
             self.record.crashes.append(f"crash: {event['why']}")
         self.bus.stop()
-        for exchange in self.exchanges:
+        for exchange in [*self.exchanges, *self.ended_exchanges]:
             exchange.die()
         self.result = RunResult(
             self.seed,
@@ -198,6 +217,16 @@
     def _reset_lines(self) -> None:
         self._any_exchange().reset_lines()
 
+    def _refuse_connections(self) -> None:
+        exchange = self._any_exchange()
+        exchange.refuse()
+
+        def accept() -> None:
+            if exchange in self.exchanges:
+                exchange.start()
+
+        self._later(self.source.uniform(50.0, 600.0), accept)
+
     def _hang(self) -> None:
         self._any_exchange().hang(self.source.uniform(60.0, 1_500.0))
 
@@ -208,6 +237,8 @@
         exchange.die()
 
         def start() -> None:
+            if self.exchanges[number] is not exchange:
+                return  # it has been replaced
             exchange.start()
             self.started_ms[number] = int(self.loop.now)
             self._later(
@@ -217,6 +248,27 @@
 
         self._later(away_ms, start)
 
+    def _replace_exchange(self) -> None:
+        """Another machine takes the number of an exchange: the old one drains and then ends."""
+        number = self.source.randrange(1, len(self.exchanges))
+        former = self.exchanges[number]
+        former_target = self._target(number, eventbus.DRAINING)
+        self.replacement_count += 1
+        name = f"s-{self.seed & 0xFFFF:04x}{0xFF00 - self.replacement_count:04x}"
+        self.exchanges[number] = ExchangeStandIn(
+            self.network, free_address(), name, self.record, draw_rates(self.source), random.Random(name)
+        )
+        self.ended_exchanges.append(former)
+        self.started_ms[number] = int(self.loop.now)
+        self.bus.publish(former_target)
+        self.bus.publish(self._target(number, eventbus.READY))
+
+        def end() -> None:
+            former.die()
+            self.bus.publish(replace(former_target, state=eventbus.GONE))
+
+        self._later(self.source.uniform(100.0, 1_500.0), end)
+
     def _drain(self) -> None:
         number = self.source.randrange(1, len(self.exchanges))
         self.bus.publish(self._target(number, eventbus.DRAINING))
--- a/tests/test_fault_runs.py
+++ b/tests/test_fault_runs.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lab.faults.record import Attempt, ObservedCall, Record
+from lab.faults.record import Attempt, Drain, ObservedCall, Record
 from lab.faults.scenario import play
 
 SEEDS = list(range(1, 11))  # longer runs: python -m lab.faults
@@ -65,3 +65,27 @@
     terminated_at = [NOW + terminated_ms] if terminated_ms is not None else []
     faults = Record(calls={CALL: call}, terminated_at=terminated_at).find_faults()
     assert [fault.split(":")[0] for fault in faults] == ([rule] if rule else [])
+
+
+@pytest.mark.parametrize(("arrived_ms", "found"), [(290.0, False), (310.0, True), (900.0, False)])
+def test_the_checker_finds_set_ups_after_a_drain(arrived_ms: float, found: bool) -> None:
+    drain = Drain("s-00000001", NOW, NOW + 800.0)
+    faults = Record(attempts=[attempt(arrived_ms, arrived_ms + 5.0)], drains=[drain]).find_faults()
+    assert [fault.split(":")[0] for fault in faults] == (["drain"] if found else [])
+
+
+@pytest.mark.parametrize(
+    ("released_ms", "killed_ms", "found"),
+    [(0.0, None, True), (1_540.0, None, False), (1_560.0, None, True), (0.0, 700.0, False)],
+)
+def test_the_checker_finds_calls_that_are_not_released_to_their_caller(
+    released_ms: float, killed_ms: float | None, found: bool
+) -> None:
+    stood = attempt(1.0, 20.0)
+    stood.answered = True
+    stood.released_at = NOW + 500.0
+    call = ObservedCall(CALL, NOW, 900.0, [(NOW + 21.0, 200)])
+    call.released_at = NOW + released_ms if released_ms else 0.0
+    killed_at = [NOW + killed_ms] if killed_ms is not None else []
+    faults = Record(attempts=[stood], calls={CALL: call}, killed_at=killed_at).find_faults()
+    assert [fault.split(":")[0] for fault in faults] == (["release to caller"] if found else [])
