A release whose cause ends no set-up is not taken for an error of the open attempt

Seen: the second case of the incident's pattern, three to seven milliseconds after a set-up. When a connection is lost with a spoilt answer and the next one comes up only after the 300 ms, the release of attempt 1 and the set-up of attempt 2 leave together, and the returned release comes one round trip later, while attempt 2 is out.

Cause: any cause without an entry in OUTCOME_BY_CAUSE was ERROR, which is not in doubt, so attempt 3 followed at once.

Change: only the causes of the protocol (34, 17, 47, 102, 41) end a set-up. With an unconfirmed earlier attempt any other cause is ignored; without one, the set-up is given up and in doubt.

The recorded exchange release-returned-by-the-exchange fails on the code before (second set-up in the same millisecond) and passes now. The player learned 'delay', for dials that take time.

--- a/ospreyvale/exchanges/isup.py
+++ b/ospreyvale/exchanges/isup.py
@@ -26,8 +26,8 @@
 from ospreyvale.transport.reconnecting import ReconnectingClient
 
 PROBE_TIMEOUT_MS = 250.0  # the site's value, which is not part of the settings
-# Outcome of a set-up that an exchange refuses with REL; ERROR for any other cause.
-OUTCOME_BY_CAUSE = {
+# Outcome of a set-up that an exchange ends with REL.
+OUTCOME_BY_CAUSE: dict[int, interface.Outcome] = {
     Cause.NO_CIRCUIT: interface.Outcome.FULL,
     Cause.USER_BUSY: interface.Outcome.ERROR,
     Cause.RESOURCE_UNAVAILABLE: interface.Outcome.ERROR,
@@ -597,8 +597,9 @@
     ) -> None:
         """Handles a release of a call whose set-up is out on this connection."""
         call = message.call
-        if message.cause == Cause.NORMAL and call in remote.unconfirmed:
-            # The end of a call that stood: an earlier attempt was answered, and the answer was lost.
+        if message.cause not in OUTCOME_BY_CAUSE and call in remote.unconfirmed:
+            # The end of a call that stood (an earlier attempt was answered, and the answer was lost), or the
+            # exchange's response to the release of that attempt.
             self.counters["ends_stale"] += 1
             self._log_ignored(remote, connection, message)
             return
@@ -615,24 +616,19 @@
         """Returns whether a release proves that the set-up on its connection has ended.
 
         It does not if it can concern an earlier attempt of the call.  A refusal of that attempt is sent on
-        its own connection only, the end of a call on any.  A normal end before the answer is against the
+        its own connection only, the end of a call on any.  No cause without an outcome ends a set-up in the
         protocol.
         """
-        match message.cause:
-            case Cause.NORMAL:
-                return False
-            case Cause.TEMPORARY_FAILURE:
-                return message.call not in remote.unconfirmed
-            case _:
-                return not remote.unconfirmed.was_on(message.call, connection.number)
+        if message.cause == Cause.TEMPORARY_FAILURE:
+            return message.call not in remote.unconfirmed
+        return message.cause in OUTCOME_BY_CAUSE and not remote.unconfirmed.was_on(
+            message.call, connection.number
+        )
 
     def _set_up_end(self, message: Message) -> AttemptEnd:
         """Returns how a release ends a set-up."""
-        known_cause = message.cause in set(Cause)
         return AttemptEnd(
-            OUTCOME_BY_CAUSE.get(Cause(message.cause), interface.Outcome.ERROR)
-            if known_cause
-            else interface.Outcome.ERROR,
+            OUTCOME_BY_CAUSE.get(message.cause, interface.Outcome.RESET),
             CAUSE_BY_NOTE.get(message.text(Code.NOTE), interface.Cause.NONE),
             message.number(Code.BACK_OFF),
             self._report_values(message),
--- a/tests/player.py
+++ b/tests/player.py
@@ -7,6 +7,7 @@
     config JSON            changes to CONFIG (first lines only)
     listen ADDRESS NAME    dials to the address succeed from now on; the connection is called NAME
     refuse ADDRESS         dials to the address fail from now on
+    delay ADDRESS MS       dials to the address take so long from now on
     connect NAME ADDRESS   a peer connects to a listener of the program
     NAME > BYTES           the peer sends                NAME < BYTES     the program sent exactly these
     end NAME               the peer closes its side      reset NAME       the connection is reset
@@ -40,6 +41,7 @@
 from ospreyvale.transport.network import Address, DatagramSocket, Link, ListeningSocket
 
 START_MS = 1_000_000.0
+DIAL_MS = 1.0
 
 
 def target(number: int, state: str = "Ready", boot_ms: int = 0) -> dict[str, Any]:
@@ -206,6 +208,7 @@
         self.serve_by_address: dict[Address, Callable[[Link], Coroutine]] = {}
         self.name_by_address: dict[Address, str] = {}
         self.links: dict[str, MemoryLink] = {}
+        self.dial_ms_by_address: dict[Address, float] = {}
 
     def listen(
         self,
@@ -232,8 +235,8 @@
     def dial(
         self, address: Address, timeout_ms: float, high_priority: bool = False
     ) -> Generator[Signal, None, Link | None]:
-        """Connects after 1 ms if the script listens on the address; returns None if it does not."""
-        yield from self.loop.sleep(1.0)
+        """Connects after a delay if the script listens on the address; returns None if it does not."""
+        yield from self.loop.sleep(self.dial_ms_by_address.get(address, DIAL_MS))
         if address not in self.name_by_address:
             return None
         link = MemoryLink(self.loop)
@@ -301,6 +304,9 @@
         links = self.network.links
         if command == "refuse":
             self.network.name_by_address.pop(_parse_address(rest), None)
+        elif command == "delay":
+            address, dial_ms = rest.split()
+            self.network.dial_ms_by_address[_parse_address(address)] = float(dial_ms)
         elif command == "connect":
             name, address = rest.split()
             links[name] = MemoryLink(self.loop)
