M3UA circuits of an unreachable exchange stay busy until it acknowledges their release

Cause: M3uaExchanges._on_dial_failed took every failed dial for the end of the exchange and made all circuits idle. An exchange that was cut off for a moment still uses them; its release of the old call then came on a circuit with a new set-up, whose cause 16 has no entry in END_BY_CAUSE: an error, repeated at once.

Change: the calls end for their callers as before, but their circuits wait for RLC; the RELs go out when the association is active again, which a restarted exchange acknowledges for idle circuits too (Q.764, 2.9.5.1).

The recorded exchange m3ua-circuits-after-a-failed-dial fails on the code before (no REL after the new association) and passes now; 51 tests of handover, loopback and program passed.

--- a/ospreyvale/exchanges/m3ua.py
+++ b/ospreyvale/exchanges/m3ua.py
@@ -150,11 +150,13 @@
                 self.core.on_end(call, remote.address, AttemptEnd(interface.Outcome.RESET))
 
     def _on_dial_failed(self, remote: RemoteExchange) -> None:
-        """Handles a failed dial: the exchange has ended, so its calls are cut and all circuits are idle."""
-        if remote.cic_by_call or remote.releasing_cics:
-            remote.releasing_cics.clear()
+        """Handles a failed dial: the exchange has ended or is cut off, so its calls have ended here.
+
+        Their circuits are idle once it acknowledges their release, as it may still use them.
+        """
+        if remote.cic_by_call:
             for cic in list(remote.call_by_cic):
-                self._free_circuit(remote, cic)
+                self._free_circuit(remote, cic, releasing=True)
             self.core.on_exchange_reset(remote.address)
 
     def _on_notify(self, remote: RemoteExchange, ready: bool) -> None:
