--- a/ospreyvale/exchanges/isup.py
+++ b/ospreyvale/exchanges/isup.py
@@ -8,11 +8,10 @@
 from __future__ import annotations
 
 import math
-from collections import Counter, deque
-from collections.abc import Callable
-from dataclasses import replace
+from collections import Counter
 
-from ospreyvale.exchanges.unconfirmed import UnconfirmedAttempts
+from ospreyvale.exchanges.releases import SetUpRelease, interpret_release, set_up_end
+from ospreyvale.exchanges.remote_exchange import MAX_CONNECTIONS, ExchangeConnection, RemoteExchange
 from ospreyvale.protocol import eventbus, isup
 from ospreyvale.protocol.errors import ProtocolError
 from ospreyvale.protocol.isup import Cause, Code, Message, Type
@@ -26,22 +25,6 @@
 from ospreyvale.transport.reconnecting import ReconnectingClient
 
 PROBE_TIMEOUT_MS = 250.0  # the site's value, which is not part of the settings
-# Outcome of a set-up that an exchange ends with REL.
-OUTCOME_BY_CAUSE: dict[int, interface.Outcome] = {
-    Cause.NO_CIRCUIT: interface.Outcome.FULL,
-    Cause.USER_BUSY: interface.Outcome.ERROR,
-    Cause.RESOURCE_UNAVAILABLE: interface.Outcome.ERROR,
-    Cause.TIMER_EXPIRY: interface.Outcome.MOOT,
-    Cause.TEMPORARY_FAILURE: interface.Outcome.RESET,
-}
-# Texts of the NOTE parameter in REL, which state why the set-up was refused.
-CAUSE_BY_NOTE = {
-    "all_trunks_busy": interface.Cause.NO_CIRCUIT,
-    "via_said_no": interface.Cause.CRANKBACK,
-    "far_cpu_full": interface.Cause.CRANKBACK_FULL,
-    "cpu_full": interface.Cause.PROCESSOR_FULL,
-    "number_busy": interface.Cause.LINES_BUSY,
-}
 # Names of report fields in the settings, with the platform's abbreviations for them.
 REPORT_FIELD_ALIASES = {
     "spare": "x0",
@@ -64,13 +47,6 @@
 # RESPONSE_TIMEOUT_MS does not apply to a younger connection, as a hanging processor is silent on new ones
 # too.
 MIN_SUSPECT_AGE_MS = 1_000.0
-# A suspect connection that stays silent for so long is dead, if its successor receives reports.
-DEAD_AFTER_MS = 120.0
-DEAD_WITHOUT_SUCCESSOR_MS = 1_500.0  # the same, if the successor receives none either
-# After so long without more of a partial message, the rest will not arrive.
-PARTIAL_MESSAGE_TIMEOUT_MS = 150.0
-MAX_CONNECTIONS = 4  # to one exchange, which reports the state of its group on no more
-MAX_KEPT_SET_UP_TIMES = 4_096  # send times of set-ups, for one exchange
 MAX_PENDING_RELEASES = 1_024  # releases that wait for a connection, for one exchange
 CONDITION_BY_STATE = {
     eventbus.READY: interface.Condition.READY,
@@ -79,64 +55,6 @@
 }
 
 
-class ExchangeConnection:
-    """One connection to an exchange; `number` identifies it in the log."""
-
-    def __init__(self, link: Link, number: int, now: float) -> None:
-        self.link = link
-        self.number = number
-        self.reader = isup.Reader()
-        self.connected_at = self.last_received_at = now
-        self.group_report_count = 0  # reports of the circuit group received on this connection
-        # Times in Unix milliseconds; infinity: none, or not suspect.
-        self.set_up_pending_since = math.inf  # first set-up sent since anything was received
-        self.response_pending_since = math.inf  # first set-up or test sent since anything was received
-        self.suspect_since = math.inf
-
-    def record_receipt(self, now: float) -> None:
-        """Records that data was received."""
-        self.last_received_at = now
-        self.set_up_pending_since = self.response_pending_since = math.inf
-
-    def record_request(self, now: float, is_set_up: bool) -> None:
-        """Records that a set-up or a test was sent."""
-        self.response_pending_since = min(self.response_pending_since, now)
-        if is_set_up:
-            self.set_up_pending_since = min(self.set_up_pending_since, now)
-
-
-class RemoteExchange:
-    """One exchange: its connections and its set-ups, releases and probes in progress."""
-
-    def __init__(self, address: bytes, create_client: Callable[[RemoteExchange], ReconnectingClient]) -> None:
-        # Identifies the exchange in the core; `client.address` is its network address.
-        self.address = address
-        self.connections: list[ExchangeConnection] = []  # at most MAX_CONNECTIONS, the newest last
-        # Set-ups sent and not ended, with their connection.
-        self.open_set_ups: dict[int, ExchangeConnection] = {}
-        self.unconfirmed = UnconfirmedAttempts()
-        self.queued_set_ups: dict[int, SetUpOrder] = {}  # set-ups that wait for a connection
-        self.pending_releases: dict[int, None] = {}  # releases that wait for a connection
-        # Unanswered probes: send time and connection.
-        self.probes: dict[int, tuple[float, ExchangeConnection]] = {}
-        # Send times of set-ups that reports may not include yet.
-        self.set_ups_sent_at: deque[float] = deque(maxlen=MAX_KEPT_SET_UP_TIMES)
-        self.min_round_trip_ms = math.inf  # of the fastest test so far
-        self.was_connected = False  # since its process was last considered ended
-        # Last report of the circuit group, less set-ups in transit, in the order of `IsupExchanges.columns`.
-        self.group_report: tuple[float, ...] = ()
-        self.client = create_client(self)
-
-    @property
-    def connection(self) -> ExchangeConnection | None:
-        """The connection for new messages; None while none is up or a replacement is being dialled."""
-        return (
-            self.connections[-1]
-            if self.connections and self.connections[-1].link is self.client.link
-            else None
-        )
-
-
 class IsupExchanges:
     """Sets up and releases calls at exchanges, and probes exchanges; an `ExchangePort`."""
 
@@ -417,7 +335,7 @@
             self.counters["lines_doubted"] += 1
             self.log("exchange_suspect", exchange=remote.address.decode(), connection=connection.number)
             remote.client.replace_link()
-        if self._is_dead(remote, connection, now):
+        if remote.is_dead(connection, now):
             self.counters["lines_dead"] += 1
             connection.suspect_since = min(connection.suspect_since, now)
             connection.link.close()
@@ -447,22 +365,6 @@
             )
         )
 
-    @staticmethod
-    def _is_dead(remote: RemoteExchange, connection: ExchangeConnection, now: float) -> bool:
-        """Returns whether a partial message has stalled, or a suspect connection was silent for too long."""
-        if (
-            connection.reader.has_partial_message
-            and now > connection.last_received_at + PARTIAL_MESSAGE_TIMEOUT_MS
-        ):
-            return True
-        if connection.suspect_since == math.inf or connection.last_received_at > connection.suspect_since:
-            return False
-        # Each new connection begins with a report; later reports go to every open connection.
-        successor_receives = remote.connection is not None and remote.connection.group_report_count > 1
-        return now > connection.suspect_since + (
-            DEAD_AFTER_MS if successor_receives else DEAD_WITHOUT_SUCCESSOR_MS
-        )
-
     def _on_connection_lost(self, remote: RemoteExchange, connection: ExchangeConnection) -> None:
         """Ends the set-ups that were open on a lost connection; standing calls go on.
 
@@ -548,7 +450,7 @@
                 self._on_release(remote, connection, message)
             case Type.GROUP:
                 connection.group_report_count += 1
-                remote.group_report = self._subtract_unreported(remote, self._report_values(message))
+                remote.group_report = remote.subtract_unreported(self._report_values(message), self.loop.now)
                 self.core.on_group_change(remote.address, remote.group_report)
             case Type.TESTED:
                 self._on_test_result(remote, message)
@@ -597,43 +499,19 @@
     ) -> None:
         """Handles a release of a call whose set-up is out on this connection."""
         call = message.call
-        if message.cause not in OUTCOME_BY_CAUSE and call in remote.unconfirmed:
-            # The end of a call that stood (an earlier attempt was answered, and the answer was lost), or the
-            # exchange's response to the release of that attempt.
+        meaning = interpret_release(message, connection.number, remote.unconfirmed)
+        if meaning is SetUpRelease.STALE:
             self.counters["ends_stale"] += 1
             self._log_ignored(remote, connection, message)
             return
-        end = self._set_up_end(message)
+        certain = meaning is SetUpRelease.ENDS_SET_UP
+        end = set_up_end(message, certain, self._report_values(message))
         del remote.open_set_ups[call]
-        if not self._ends_open_attempt(remote, connection, message):
+        if not certain:
             self.counters["ends_ambiguous"] += 1
             self._give_up_set_up(remote, connection, call)
-            end = replace(end, outcome=interface.Outcome.RESET)
         self.core.on_end(call, remote.address, end)
 
-    @staticmethod
-    def _ends_open_attempt(remote: RemoteExchange, connection: ExchangeConnection, message: Message) -> bool:
-        """Returns whether a release proves that the set-up on its connection has ended.
-
-        It does not if it can concern an earlier attempt of the call.  A refusal of that attempt is sent on
-        its own connection only, the end of a call on any.  No cause without an outcome ends a set-up in the
-        protocol.
-        """
-        if message.cause == Cause.TEMPORARY_FAILURE:
-            return message.call not in remote.unconfirmed
-        return message.cause in OUTCOME_BY_CAUSE and not remote.unconfirmed.was_on(
-            message.call, connection.number
-        )
-
-    def _set_up_end(self, message: Message) -> AttemptEnd:
-        """Returns how a release ends a set-up."""
-        return AttemptEnd(
-            OUTCOME_BY_CAUSE.get(message.cause, interface.Outcome.RESET),
-            CAUSE_BY_NOTE.get(message.text(Code.NOTE), interface.Cause.NONE),
-            message.number(Code.BACK_OFF),
-            self._report_values(message),
-        )
-
     def _log_ignored(self, remote: RemoteExchange, connection: ExchangeConnection, message: Message) -> None:
         """Logs an answer or a release that concerns no attempt of its connection."""
         owner = remote.open_set_ups.get(message.call)
@@ -656,19 +534,6 @@
             outcome = interface.Outcome.OK if passed else interface.Outcome.FULL
             self.core.on_probe_result(remote.address, outcome, delay_ms, self._report_values(message))
 
-    def _subtract_unreported(self, remote: RemoteExchange, report: tuple[float, ...]) -> tuple[float, ...]:
-        """Returns a report with the free circuits reduced by the set-ups that it cannot include.
-
-        The report and a set-up each take half a round trip, so these are the set-ups of the last round trip.
-        The decision module would otherwise count circuits as free that they are about to take.
-        """
-        included_until = self.loop.now - (
-            remote.min_round_trip_ms if remote.min_round_trip_ms < math.inf else 0.0
-        )
-        while remote.set_ups_sent_at and remote.set_ups_sent_at[0] <= included_until:
-            remote.set_ups_sent_at.popleft()
-        return (max(0.0, report[0] - len(remote.set_ups_sent_at)), *report[1:]) if report else report
-
     def _on_probe_timeout(self, remote: RemoteExchange, number: int) -> None:
         probe = remote.probes.pop(number, None)
         if probe is not None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -339,9 +339,9 @@
     remote = exchanges.remotes[b"s-00000001"]
     remote.set_ups_sent_at.extend([START_MS - 40.0, START_MS - 10.0])
     remote.min_round_trip_ms = 30.0
-    assert exchanges._subtract_unreported(remote, ()) == ()
-    assert exchanges._subtract_unreported(remote, (5.0, 20.0)) == (4.0, 20.0)
-    assert exchanges._subtract_unreported(remote, (0.0, 20.0)) == (0.0, 20.0)
+    assert remote.subtract_unreported((), player.loop.now) == ()
+    assert remote.subtract_unreported((5.0, 20.0), player.loop.now) == (4.0, 20.0)
+    assert remote.subtract_unreported((0.0, 20.0), player.loop.now) == (0.0, 20.0)
 
 
 def test_removed_exchanges_and_busy_numbers_do_not_accumulate() -> None:
