--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 CONFIG ?= example/config.json
 
-.PHONY: build test lint run example
+.PHONY: build test lint run example faults
 
 build:
 	test .venv/built -nt requirements.txt || (python3 -m venv .venv && .venv/bin/pip -q install -r requirements.txt \
@@ -24,3 +24,7 @@
 
 example: build
 	.venv/bin/python -m example.try_it
+
+# Long fault runs of the real program; CI plays ten short ones.
+faults: .venv-dev
+	.venv-dev/bin/python -m lab.faults --seeds 50 --seconds 20
--- a/lab/faults/program.py
+++ b/lab/faults/program.py
@@ -69,18 +69,22 @@
 
 
 class Program:
-    """One process of the program, started with a configuration; its log goes to a file."""
+    """One process of the program, started with a configuration; its log goes to a file.
 
-    def __init__(self, config: dict[str, Any], directory: Path) -> None:
+    With a seed for slow dials, its connections come up late (`lab.faults.slow_dial`).
+    """
+
+    def __init__(self, config: dict[str, Any], directory: Path, slow_dial_seed: int | None = None) -> None:
         directory.mkdir(parents=True, exist_ok=True)
         config_path = directory / "config.json"
         config_path.write_text(json.dumps(config))
         self.log_path = directory / "log.jsonl"
         environment = os.environ | {"LB_CONFIG": str(config_path), "LB_NAME": config["name"]}
         environment.pop("TMPDIR", None)  # no handover: a restarted program starts from nothing
+        module = ["ospreyvale"] if slow_dial_seed is None else ["lab.faults.slow_dial", str(slow_dial_seed)]
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-O", "-m", "ospreyvale"],
+                [sys.executable, "-O", "-m", *module],
                 cwd=ROOT,
                 env=environment,
                 stdout=log,
--- a/lab/faults/scenario.py
+++ b/lab/faults/scenario.py
@@ -105,12 +105,15 @@
             range(1, len(names)),
             self.source.uniform(MIN_CALLS_PER_S, MAX_CALLS_PER_S),
         )
+        # In every second run, connections of the program come up late.
+        self.slow_dial_seed = seed if seed % 2 else None
         self.program = self._start_program()
         self.expected_to_run = True
         self.loop.spawn(self._play())
 
     def _start_program(self) -> Program:
-        return Program(build_config(self.listen_address, self.bus, len(self.exchanges)), self.directory)
+        config = build_config(self.listen_address, self.bus, len(self.exchanges))
+        return Program(config, self.directory, self.slow_dial_seed)
 
     def _target(self, number: int, state: int) -> Target:
         exchange = self.exchanges[number]
