A call offered again under its id waits for the release of its former attempt

A caller (or a tandem's exchange) that gives a call up and offers it again under the same id got a new entry without the 300 ms, and the set-up followed at once.

Cause: CallTable.add made a new CallState with earliest_send_at 0; CallTable.remove kept only the id.

Change: the table keeps the earliest time for another attempt with each ended call, and the decision module gets it with the call (Call.earliest_send_at).

--- a/lab/faults/callers.py
+++ b/lab/faults/callers.py
@@ -13,6 +13,7 @@
 CONNECT_TIMEOUT_MS = 300.0
 CONNECTIONS = 4  # that calls are spread over; a closed one is opened again at its next call
 GIVE_UP_PROBABILITY = 0.06
+REPEAT_PROBABILITY = 0.3  # of a set-up that was given up
 NONSENSE_PROBABILITY = 0.01  # of an additional connection that sends no SIP message
 SPLIT_PROBABILITY = 0.1  # of a set-up that is sent in two pieces
 MAX_SPLIT_DELAY_MS = 20.0
@@ -92,7 +93,7 @@
         call = self.source.getrandbits(63) | 1
         call_class = int(self.source.random() < 0.1)
         patience_ms = self.source.uniform(MIN_PATIENCE_MS, DEADLINES_MS[call_class])
-        data = self._encode_set_up(call, call_class, patience_ms)
+        set_up = data = self._encode_set_up(call, call_class, patience_ms)
         if self.source.random() < SPLIT_PROBABILITY:
             cut = self.source.randrange(1, len(data))
             line.inside_message = True
@@ -107,7 +108,7 @@
         wait_ms = patience_ms + 2_000.0  # for answers that come too late
         if self.source.random() < GIVE_UP_PROBABILITY:
             wait_ms = self.source.uniform(1.0, patience_ms)
-        self.loop.call_at(self.loop.now + wait_ms, lambda: self._give_up(line, observed))
+        self.loop.call_at(self.loop.now + wait_ms, lambda: self._give_up(line, observed, set_up))
 
     def _encode_set_up(self, call: int, call_class: int, patience_ms: float) -> bytes:
         destination = self.source.choice(self.destinations)
@@ -124,9 +125,12 @@
             b"description",
         )
 
-    def _give_up(self, line: CallerLine, observed: ObservedCall) -> None:
+    def _give_up(self, line: CallerLine, observed: ObservedCall, set_up: bytes) -> None:
+        """Gives up a call that is not answered; now and then the same set-up is sent again at once."""
         if line.inside_message:
-            self.loop.call_at(self.loop.now + MAX_SPLIT_DELAY_MS, lambda: self._give_up(line, observed))
+            self.loop.call_at(
+                self.loop.now + MAX_SPLIT_DELAY_MS, lambda: self._give_up(line, observed, set_up)
+            )
             return
         if line.unanswered.pop(observed.call, None) is None:
             return
@@ -137,6 +141,8 @@
                 [("Call-ID", f"{observed.call:016x}"), ("CSeq", "1 CANCEL")],
             )
         )
+        if self.source.random() < REPEAT_PROBABILITY:
+            line.link.send(set_up)
 
     def _serve(self, line: CallerLine) -> Coroutine:
         reader = sip.Reader()
--- a/lab/faults/scenario.py
+++ b/lab/faults/scenario.py
@@ -112,6 +112,8 @@
         self.loop.spawn(self._play())
 
     def _start_program(self) -> Program:
+        for event in self.bus.events:  # the configuration tells of all of them
+            self._on_event_sent(event)
         config = build_config(self.listen_address, self.bus, len(self.exchanges))
         return Program(config, self.directory, self.slow_dial_seed)
 
--- a/ospreyvale/routing/call_table.py
+++ b/ospreyvale/routing/call_table.py
@@ -27,14 +27,15 @@
         self.drain_grace_ms = drain_grace_ms
         self.calls: dict[int, CallState] = {}
         self.unanswered = self.standing = 0
-        self._ended: OrderedDict[int, None] = OrderedDict()
+        # Ended calls, with the earliest time for another attempt if they are offered again.
+        self._ended: OrderedDict[int, float] = OrderedDict()
 
     def add(self, now: float, offer: Offer, caller: CallerPort) -> CallState | None:
         """Adds a new call; returns None if a call of that id exists."""
         if offer.call in self.calls:
             return None
-        self._ended.pop(offer.call, None)
         state = CallState(offer, caller, now, now + offer.patience_ms)
+        state.earliest_send_at = self._ended.pop(offer.call, 0.0)
         self.calls[offer.call] = state
         self.unanswered += 1
         return state
@@ -59,7 +60,7 @@
 
     def add_ended_calls(self, calls: list[int]) -> None:
         """Remembers calls that have ended in another process."""
-        self._ended.update(dict.fromkeys(calls[-MAX_ENDED_CALLS:]))
+        self._ended.update(dict.fromkeys(calls[-MAX_ENDED_CALLS:], 0.0))
 
     def may_send(self, now: float, state: CallState, entry: ExchangeEntry) -> bool:
         """Returns whether the rules allow a set-up; a violation is counted, or asserted in debug mode."""
@@ -108,7 +109,7 @@
         """Removes a call and remembers it as ended."""
         if self.calls.get(state.call) is state:
             del self.calls[state.call]
-            self._ended[state.call] = None
+            self._ended[state.call] = state.earliest_send_at
             if len(self._ended) > MAX_ENDED_CALLS:
                 self._ended.popitem(last=False)
 
--- a/ospreyvale/routing/control.py
+++ b/ospreyvale/routing/control.py
@@ -129,7 +129,7 @@
         self.plan = plan
         self.deadline_at = plan.deadline_at
         self.attempts = 0
-        self.earliest_send_at = now
+        self.earliest_send_at = max(now, call.earliest_send_at)
         self.wait_until = now  # a waiting call is answered at this time at the latest
         self.exchange: ExchangeState | None = None  # of the open attempt or the standing call
         self.done = self.stands = False  # done: the final answer is sent, or is not needed any more
--- a/ospreyvale/routing/interface.py
+++ b/ospreyvale/routing/interface.py
@@ -136,6 +136,7 @@
     transit: bool = False
     redialled: bool = False
     cut: bool = False
+    earliest_send_at: float = 0.0  # later than now if an attempt of an earlier offer of the call is in doubt
 
 
 @dataclass(frozen=True, slots=True)
--- a/ospreyvale/routing/stages/admit.py
+++ b/ospreyvale/routing/stages/admit.py
@@ -8,4 +8,4 @@
 
 def admit_call(context: Context, state: CallState) -> None:
     """Passes the call to the decision module."""
-    context.notify_control(state.offer.to_event())
+    context.notify_control(state.offer.to_event(state.earliest_send_at))
--- a/ospreyvale/routing/state.py
+++ b/ospreyvale/routing/state.py
@@ -36,7 +36,7 @@
     transit: bool = False
     cut: bool = False
 
-    def to_event(self) -> interface.Call:
+    def to_event(self, earliest_send_at: float = 0.0) -> interface.Call:
         """Returns the event that requests a decision on the call."""
         return interface.Call(
             self.call,
@@ -48,6 +48,7 @@
             self.call_class,
             transit=self.transit,
             cut=self.cut,
+            earliest_send_at=earliest_send_at,
         )
 
 
