Fault runs: releases wait for a connection that sends, and no program is left behind

An exchange that hangs has not seen the connection yet, so the copy now stays for the next one.

A fault of a stand-in (an exception) left five programs running; play() now ends them.

--- a/lab/faults/exchange.py
+++ b/lab/faults/exchange.py
@@ -104,9 +104,7 @@
         line = FaultyLine(self.loop, link, self.rates, self.source)
         self.lines.append(line)
         self._report_group(line)
-        for release in self.releases_for_next:
-            line.send(release)
-        self.releases_for_next.clear()
+        self.releases_for_next = [release for release in self.releases_for_next if not line.send(release)]
         reader = isup.Reader()
         while data := (yield from link.receive()):
             for message in reader.feed(data):
--- a/lab/faults/scenario.py
+++ b/lab/faults/scenario.py
@@ -344,10 +344,14 @@
     waiting = list(reversed(seeds))
     active: list[Run] = []
     results: dict[int, RunResult] = {}
-    while waiting or active:
-        while waiting and len(active) < concurrent:
-            active.append(Run(network, waiting.pop(), duration_ms, directory))
-        network.loop.turn()
-        results |= {run.seed: run.result for run in active if run.result is not None}
-        active = [run for run in active if run.result is None]
+    try:
+        while waiting or active:
+            while waiting and len(active) < concurrent:
+                active.append(Run(network, waiting.pop(), duration_ms, directory))
+            network.loop.turn()
+            results |= {run.seed: run.result for run in active if run.result is not None}
+            active = [run for run in active if run.result is None]
+    finally:  # also after a fault of a stand-in
+        for run in active:
+            run.program.kill()
     return [results[seed] for seed in seeds]
