Signals during the start wait until the program handles them

Seen: in the first 0.29 s of its start SIGHUP ended the program (exit status -1), SIGTERM with status -15 and without a log line; measured by sending each signal 0 to 300 ms after the start in steps of 20 ms: 15 of 16 SIGHUPs and 14 of 16 SIGTERMs. Operators send new configurations and shutdowns in quick succession.

Cause: the default action of SIGHUP ends a process, and SignalReceiver was created after all imports and after the program had begun to serve.

Change: ospreyvale.program.signals (split from app.py) blocks the handled signals before the other modules are imported, and SignalReceiver unblocks them, so they are received in its first turn. The shell of 'run' ignores SIGHUP until then; what it would announce is in the configuration that is read afterwards.

The test sends 60 SIGHUPs through 'run' and fails on the code before.

--- a/ospreyvale/__main__.py
+++ b/ospreyvale/__main__.py
@@ -7,6 +7,10 @@
 
     command()
 else:
+    from ospreyvale.program.signals import hold_signals
+
+    hold_signals()  # before the other modules are imported, which takes most of the start
+
     from ospreyvale.program.app import main
 
     sys.exit(main())
--- a/ospreyvale/program/app.py
+++ b/ospreyvale/program/app.py
@@ -8,7 +8,6 @@
 import random
 import resource
 import signal
-import socket
 import sys
 import traceback
 from collections.abc import Callable
@@ -28,13 +27,14 @@
 from ospreyvale.operations.metrics import ProcessMetrics
 from ospreyvale.operations.otlp import OtlpExporter, counters_routes
 from ospreyvale.operations.timing import TimingService
+from ospreyvale.program.signals import SignalReceiver
 from ospreyvale.routing.core import Core
 from ospreyvale.settings.config import Config, ConfigError, read_config
 from ospreyvale.settings.document import DocumentError
 from ospreyvale.settings.edge import EdgeConfig, read_edge_config
 from ospreyvale.settings.timing import build_site_rules
 from ospreyvale.timing.policy import SiteRules
-from ospreyvale.transport.loop import READ, Coroutine, Loop
+from ospreyvale.transport.loop import Coroutine, Loop
 from ospreyvale.transport.network import Address, DatagramSocket, Dialer, Link, ListeningSocket, Network
 from ospreyvale.transport.unix_socket import connect_unix, listen_unix
 
@@ -383,34 +383,6 @@
         )
 
 
-class SignalReceiver:
-    """Passes Unix signals to `on_signal` within a turn of the loop.
-
-    Uses a socket pair (see signal.set_wakeup_fd).  Keeps a reference to both ends: when the writing end was
-    garbage-collected, the reading end was always ready and the loop used a whole CPU core.
-    """
-
-    def __init__(self, loop: Loop, on_signal: Callable[[int], None]) -> None:
-        self.on_signal = on_signal
-        self.reading_end, self.writing_end = socket.socketpair()
-        for end in (self.reading_end, self.writing_end):
-            end.setblocking(False)
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
-            signal.signal(number, lambda *_: None)
-        signal.set_wakeup_fd(self.writing_end.fileno(), warn_on_full_buffer=False)
-        loop.watch(self.reading_end.fileno(), READ, self._on_readable)
-
-    def close(self) -> None:
-        """Stops receiving signals."""
-        signal.set_wakeup_fd(-1)
-        self.reading_end.close()
-        self.writing_end.close()
-
-    def _on_readable(self, _: int) -> None:
-        for number in self.reading_end.recv(64):
-            self.on_signal(number)
-
-
 def create_device_front(network: AppNetwork, app: App, edge: EdgeConfig) -> DeviceFront:
     """Creates the front for devices; its libraries are imported only if the document has a `devices` node."""
     from ospreyvale.fronts.devices import DeviceFront
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -14,6 +14,8 @@
 import socket
 import subprocess
 import sys
+import time
+import tomllib
 from pathlib import Path
 from typing import Any
 
@@ -21,7 +23,8 @@
 import pytest
 
 from ospreyvale.operations.eventlog import EventLog
-from ospreyvale.program.app import CLOSE_DELAY_MS, SignalReceiver
+from ospreyvale.program.app import CLOSE_DELAY_MS
+from ospreyvale.program.signals import SignalReceiver
 from ospreyvale.protocol.eventbus import from_json
 from ospreyvale.routing import interface
 from ospreyvale.routing.call_table import CallTable
@@ -37,6 +40,7 @@
 from ospreyvale.transport.network import MAX_QUEUED_BYTES, Connection, Link, Network
 from ospreyvale.transport.reconnecting import ReconnectingClient
 from tests.player import CONFIG, START_MS, MemoryLink, NoPoller, Player, frame_sip, target
+from tests.test_loopback import format_address, free_address
 
 SITE = build_site_rules(parse_config(CONFIG))
 ROOT = Path(__file__).resolve().parent.parent
@@ -142,6 +146,35 @@
             signal.signal(number, signal.SIG_DFL)
 
 
+def test_reload_signals_during_the_start_do_not_end_the_program(tmp_path: Path) -> None:
+    """Guards against SIGHUP before the program handles signals, which ended the process."""
+    path = tmp_path / "config.json"
+    listen = format_address(free_address())
+    path.write_bytes(orjson.dumps(changed_config("listen", listen)))
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    command = run.replace(".venv/bin/python", sys.executable)
+    assert sys.executable in command
+    with subprocess.Popen(
+        ["/bin/sh", "-c", command],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        env=os.environ | {"LB_CONFIG": str(path), "TMPDIR": str(tmp_path)},
+    ) as process:
+        time.sleep(0.03)  # for the shell, which sets the signal's action first
+        for _ in range(60):
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.005)
+        assert process.stdout is not None
+        while b'"ready"' not in (line := process.stdout.readline()):
+            assert line, f"the program has ended with status {process.wait()}"
+        process.send_signal(signal.SIGHUP)
+        while b'"reloaded"' not in (line := process.stdout.readline()):
+            assert line, f"the program has ended with status {process.wait()}"
+        process.send_signal(signal.SIGTERM)
+        process.stdout.read()
+    assert process.returncode == 0
+
+
 def test_after_sigterm_the_program_serves_until_no_call_is_left() -> None:
     player = Player()
     app = player.start()
