--- a/review/standins.py
+++ b/review/standins.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import select
 import shutil
 import signal
 import socket
@@ -118,6 +119,14 @@
         self.server = await asyncio.start_server(self._serve, sock=self.sock)
         self.processor = asyncio.ensure_future(self._work())
 
+    def stop(self) -> None:
+        """Ends the exchange: its connections are reset, and its calls are cut."""
+        assert self.server is not None
+        self.server.close()
+        self.standing.clear()
+        for line in list(self.lines):
+            line.transport.abort()
+
     async def _work(self) -> None:
         """The processor: one thing after the other, nothing while it hangs."""
         while True:
@@ -165,7 +174,8 @@
             self.line.put_nowait(lambda: line.write(encode(TESTED, call, {P_CAUSE: b"\x01", **self.report()})))
         elif kind == IAM:
             self.arrivals.append((now(), call))
-            self.record(f"{self.name}: set-up {call:016x} arrived")
+            number = self.lines.index(line) + 1
+            self.record(f"{self.name}: set-up {call:016x} arrived on connection {number} of {len(self.lines)}")
             self.open[call] = line
             self.tell_group()
             description = parameters.get(P_DESCRIPTION, b"")
@@ -226,7 +236,6 @@
         self.published_at: dict[int, float] = {}
         self.first_frame_s = 0.0  # how long a new connection waits for its first frame
         self.connections = 0
-        self.sent: dict[int, float] = {}
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._serve, sock=self.sock)
@@ -290,7 +299,6 @@
                 for number, kind, targets in self.events:
                     if number > last:
                         writer.write(self.frame(number, kind, targets))
-                        self.sent.setdefault(number, now())
                         self.record(f"event bus: event {number} is sent on connection {connection}")
                         last = number
                 if now() >= due:
@@ -424,7 +432,7 @@
 class Program:
     """The project's program, started with `run` of the deploy file."""
 
-    def __init__(self, record: Record, directory: Path, bus: EventBus, edge: str = "") -> None:
+    def __init__(self, record: Record, directory: Path, bus: EventBus) -> None:
         self.record = record
         self.directory = directory
         self.bus = bus
@@ -432,7 +440,7 @@
         self.admin = free_port()
         self.config = directory / "config.json"
         self.edge = directory / "edge.kdl"
-        self.edge.write_text(edge)
+        self.edge.write_text("")  # nothing beside the platform's port
         self.process: subprocess.Popen[bytes] | None = None
         self.starts = 0
 
@@ -576,9 +584,13 @@
 
         async def deliver() -> None:
             while True:
-                due, data = await passing.get()
-                await asyncio.sleep(due - now())
-                await self.open.wait()
+                written_at, data = await passing.get()
+                await asyncio.sleep(written_at + self.one_way_s - now())
+                if not self.open.is_set():
+                    await self.open.wait()
+                    await asyncio.sleep(self._next_retransmission(written_at) - now())
+                    if was_reset(source):  # the sender has thrown away what did not arrive
+                        return
                 if not data:
                     sink.shutdown(socket.SHUT_WR)
                     return
@@ -589,13 +601,29 @@
             while True:
                 await self.open.wait()
                 data = await loop.sock_recv(source, 16384)
-                passing.put_nowait((now() + self.one_way_s, data))
+                passing.put_nowait((now(), data))
                 if not data:
                     break
             await delivery
         finally:
             delivery.cancel()
 
+    @staticmethod
+    def _next_retransmission(written_at: float) -> float:
+        """When TCP sends again what did not arrive: after 0.2 s, then after twice as long each time."""
+        due, interval = written_at, 0.2
+        while due < now():
+            due += interval
+            interval *= 2.0
+        return due
+
+
+def was_reset(sock: socket.socket) -> bool:
+    """Returns whether the peer has reset the connection."""
+    poller = select.poll()
+    poller.register(sock.fileno(), 0)
+    return any(mask & select.POLLERR for _, mask in poller.poll(0))
+
 
 class CannotRun(Exception):
     """The case could not be played."""
