--- a/review/standins.py
+++ b/review/standins.py
@@ -345,17 +345,6 @@
             b"offer",
         )
 
-    def bye(self, call: int) -> None:
-        self.record(f"{self.name}: BYE {call:016x}")
-        self.send(
-            f"BYE sip:{call ^ 0x5555:016x}@net SIP/2.0\nVia: SIP/2.0/TCP peer\nCall-ID: {call:016x}\n"
-            "CSeq: 2 BYE\nReason: Q.850;cause=16"
-        )
-
-    def options(self) -> None:
-        self.record(f"{self.name}: OPTIONS")
-        self.send("OPTIONS sip:ping@net SIP/2.0\nVia: SIP/2.0/TCP peer\nCall-ID: 00000000000000ff\nCSeq: 1 OPTIONS")
-
     async def wait(self, done: Callable[[], bool], seconds: float) -> bool:
         """Waits until `done` returns True; returns whether it did in time."""
         until = now() + seconds
@@ -437,14 +426,14 @@
         self.directory = directory
         self.bus = bus
         self.port = free_port()
-        self.admin = free_port()
+        self.admin = next(port for port in iter(free_port, 0) if port != self.port)
         self.config = directory / "config.json"
         self.edge = directory / "edge.kdl"
         self.edge.write_text("")  # nothing beside the platform's port
         self.process: subprocess.Popen[bytes] | None = None
         self.starts = 0
 
-    def write_config(self, bus_port: int | None = None) -> None:
+    def write_config(self) -> None:
         self.config.write_text(
             json.dumps(
                 {
@@ -452,7 +441,7 @@
                     "listen": f"{HOST}:{self.port}",
                     "seed": f"{time.time_ns() & (1 << 62) - 1:x}",
                     "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-                    "bus": f"{HOST}:{bus_port or self.bus.port}",
+                    "bus": f"{HOST}:{self.bus.port}",
                     "known": self.bus.known(),
                     "settings": settings(len(self.bus.exchanges)),
                 }
