Connections to exchanges drain instead of being closed in both directions

Cause: while the exchange's processor hung, the connection of the calls became suspect and another one was opened. Once its last set-up was answered, _check_connection closed the suspect one at once, in both directions. Releases that the exchange wrote until it saw the close, a round trip later, were dropped by this side's kernel. Their copies go to the next connection to be opened, and the one in place of the suspect one was open already. A connection that was silent and taken for dead was closed in the same way.

Change: such a connection drains. The decisions about one connection are in a module of their own (connection.py). Draining connections are limited to four for each exchange and give their descriptor to a dial that finds none.

--- a/ospreyvale/exchanges/isup.py
+++ b/ospreyvale/exchanges/isup.py
@@ -1,17 +1,18 @@
 """Connections to exchanges over the platform's binary ISUP messages.
 
 There is one persistent connection to each exchange.  A connection becomes suspect when an expected message
-does not arrive on it.  A second connection is then dialled and carries new messages; the suspect one is
-closed once the second shows that it is dead, or once no set-up is open on it.
+does not arrive on it.  A second connection is then dialled and carries new messages; the suspect one drains
+once the second shows that it is dead, or once no set-up is open on it.  It is read until the exchange ends
+its side, because releases that the exchange has sent there may be repeated nowhere else.
 """
 
 from __future__ import annotations
 
-import math
 from collections import Counter
 
+from ospreyvale.exchanges.connection import ExchangeConnection
 from ospreyvale.exchanges.releases import SetUpRelease, interpret_release, set_up_end
-from ospreyvale.exchanges.remote_exchange import MAX_CONNECTIONS, ExchangeConnection, RemoteExchange
+from ospreyvale.exchanges.remote_exchange import MAX_CONNECTIONS, RemoteExchange
 from ospreyvale.protocol import eventbus, isup
 from ospreyvale.protocol.errors import ProtocolError
 from ospreyvale.protocol.isup import Cause, Code, Message, Type
@@ -37,17 +38,9 @@
     "allowed": "qps",
 }
 CHECK_INTERVAL_MS = 25.0  # between two checks of a connection
-# An exchange reports its circuit group within 3 ms of receiving a set-up, whatever the load of its processor.
-# A connection on which nothing is received for so long after a set-up is suspect.
-SET_UP_RESPONSE_TIMEOUT_MS = 80.0
-# Answers to tests and set-ups wait for the processor.  A connection is also suspect if nothing is received
-# for so long while one of them is unanswered.
-RESPONSE_TIMEOUT_MS = 400.0
-IDLE_BEFORE_TEST_MS = 500.0  # a connection that serves only standing calls is tested after so long a silence
-# RESPONSE_TIMEOUT_MS does not apply to a younger connection, as a hanging processor is silent on new ones
-# too.
-MIN_SUSPECT_AGE_MS = 1_000.0
 MAX_PENDING_RELEASES = 1_024  # releases that wait for a connection, for one exchange
+MAX_DRAINING_CONNECTIONS = 4  # to one exchange
+MIN_DRAIN_MS = 500.0  # before a draining connection is closed for the sake of another one
 CONDITION_BY_STATE = {
     eventbus.READY: interface.Condition.READY,
     eventbus.DRAINING: interface.Condition.DRAINING,
@@ -75,6 +68,7 @@
         self.counters = counters
         self.log = log
         self.remotes: dict[bytes, RemoteExchange] = {}
+        self.draining: dict[ExchangeConnection, RemoteExchange] = {}  # the longest draining first
         self.last_test_number = 0
         self.last_connection_number = 0
 
@@ -145,6 +139,9 @@
             for connection in list(remote.connections):
                 connection.link.close()
                 self._on_connection_lost(remote, connection)
+            for connection in self._draining_connections(remote):
+                del self.draining[connection]
+                connection.link.close()
 
     # ---- handover between processes ----
 
@@ -171,7 +168,7 @@
         """
         for remote in self.remotes.values():
             if remote.connection is not None and len(remote.connections) < MAX_CONNECTIONS:
-                remote.connection.suspect_since = self.loop.now
+                remote.connection.replaced_since = self.loop.now
                 remote.client.replace_link()
 
     def pending_releases(self) -> list[tuple[str, int]]:
@@ -280,73 +277,119 @@
                 self.log("protocol_error", wire="isup", why=str(error))
                 framing_failed = True
                 break
-        if connection in remote.connections:  # otherwise the exchange was removed from the list
-            self.log(
-                "exchange_lost",
-                exchange=remote.address.decode(),
-                connection=connection.number,
-                reset=link.was_reset,
-                spoilt=framing_failed,
-                doubted=connection.suspect_since < math.inf,
-                open=sum(owner is connection for owner in remote.open_set_ups.values()),
-            )
-            self.counters["exchanges_lost"] += 1
+        self._on_connection_ended(remote, connection, framing_failed)
+
+    def _on_connection_ended(
+        self, remote: RemoteExchange, connection: ExchangeConnection, framing_failed: bool
+    ) -> None:
+        was_draining = self.draining.pop(connection, None) is not None
+        if not was_draining and connection not in remote.connections:
+            return  # the exchange was removed from the list
+        # Everything was received if the exchange has ended its side and this side was still open.
+        complete = not (
+            framing_failed
+            or connection.link.was_reset
+            or connection.link.closed
+            or connection.reader.has_partial_message
+        )
+        self.log(
+            "exchange_lost",
+            exchange=remote.address.decode(),
+            connection=connection.number,
+            reset=connection.link.was_reset,
+            spoilt=framing_failed,
+            doubted=connection.is_replaced,
+            drained=connection.drained_message_count if was_draining else None,
+            complete=complete,
+            open=sum(owner is connection for owner in remote.open_set_ups.values()),
+        )
+        self.counters["exchanges_lost"] += 1
+        if not was_draining:
             self._on_connection_lost(remote, connection)
 
+    def _draining_connections(self, remote: RemoteExchange) -> list[ExchangeConnection]:
+        return [connection for connection, owner in self.draining.items() if owner is remote]
+
+    def free_descriptor(self) -> bool:
+        """Closes the connection that has drained for longest; returns False if none can be spared."""
+        connection = next(iter(self.draining), None)
+        if connection is None or self.loop.now < connection.draining_since + MIN_DRAIN_MS:
+            return False
+        self._close_draining(connection)
+        return True
+
+    def _close_draining(self, connection: ExchangeConnection) -> None:
+        self.log(
+            "exchange_drain_ended",
+            exchange=self.draining.pop(connection).address.decode(),
+            connection=connection.number,
+        )
+        connection.link.close()
+
     def _check_connection(self, remote: RemoteExchange, connection: ExchangeConnection) -> None:
-        """Tests, suspects and closes a connection that may be dead although it is still open.
+        """Tests, replaces and retires a connection; repeats until it is closed.
 
-        All messages sent on it would be lost, and all that the exchange sends about standing calls.  Repeats
-        until the connection is closed.
+        All messages sent on a dead connection would be lost, and all that the exchange sends there about
+        standing calls.
         """
-        if connection.link.closed or connection not in remote.connections:
+        if connection.link.closed:
             return
-        now = self.loop.now
-        if (
-            connection is remote.connection
-            and connection.response_pending_since == math.inf
-            and now > connection.last_received_at + IDLE_BEFORE_TEST_MS
-            and self._needs_liveness_test(remote)
-        ):
-            connection.record_request(now, is_set_up=False)
-            self.last_test_number += 1
-            connection.link.send(
-                isup.encode(Message(Type.TEST, self.last_test_number, {Code.CAUSE: b"\x00"}))
+        if connection in remote.connections:
+            self._check_open_connection(remote, connection)
+        elif connection.has_drain_timed_out(self.loop.now):
+            connection.link.close()
+        if not connection.link.closed:
+            self.loop.call_at(
+                self.loop.now + CHECK_INTERVAL_MS, lambda: self._check_connection(remote, connection)
             )
-        awaits_response = (
-            connection.response_pending_since < math.inf or connection in remote.open_set_ups.values()
-        )
-        silent_since = (
-            connection.response_pending_since
-            if connection.response_pending_since < math.inf
-            else connection.last_received_at
-        )
-        is_silent = (
-            awaits_response
-            and now > silent_since + RESPONSE_TIMEOUT_MS
-            and now > connection.connected_at + MIN_SUSPECT_AGE_MS
-        )
-        if (
-            connection is remote.connection
-            and len(remote.connections) < MAX_CONNECTIONS
-            and (is_silent or now > connection.set_up_pending_since + SET_UP_RESPONSE_TIMEOUT_MS)
-        ):
-            connection.suspect_since = now
-            self.counters["lines_doubted"] += 1
-            self.log("exchange_suspect", exchange=remote.address.decode(), connection=connection.number)
-            remote.client.replace_link()
-        if remote.is_dead(connection, now):
+
+    def _check_open_connection(self, remote: RemoteExchange, connection: ExchangeConnection) -> None:
+        now = self.loop.now
+        has_open_set_ups = remote.has_open_set_ups(connection)
+        if connection is remote.connection:
+            if connection.is_idle(now) and self._needs_liveness_test(remote):
+                self._send_liveness_test(connection)
+            if len(remote.connections) < MAX_CONNECTIONS and connection.is_unresponsive(
+                now, has_open_set_ups
+            ):
+                self.counters["lines_doubted"] += 1
+                self.log("exchange_suspect", exchange=remote.address.decode(), connection=connection.number)
+                connection.replaced_since = now
+                remote.client.replace_link()
+        if connection.has_stalled_message(now):
             self.counters["lines_dead"] += 1
-            connection.suspect_since = min(connection.suspect_since, now)
-            connection.link.close()
-        elif (
-            connection.suspect_since < math.inf
-            and connection not in remote.open_set_ups.values()
-            and remote.connection is not None
-        ):
+            connection.replaced_since = min(connection.replaced_since, now)
             connection.link.close()
-        else:
-            self.loop.call_at(now + CHECK_INTERVAL_MS, lambda: self._check_connection(remote, connection))
+        elif connection.is_dead(now, remote.successor_receives):
+            self.counters["lines_dead"] += 1
+            self._drain_connection(remote, connection)
+        elif connection.is_replaced and not has_open_set_ups and remote.connection is not None:
+            self._drain_connection(remote, connection)
+
+    def _send_liveness_test(self, connection: ExchangeConnection) -> None:
+        connection.record_request(self.loop.now, is_set_up=False)
+        self.last_test_number += 1
+        connection.link.send(isup.encode(Message(Type.TEST, self.last_test_number, {Code.CAUSE: b"\x00"})))
+
+    def _drain_connection(self, remote: RemoteExchange, connection: ExchangeConnection) -> None:
+        """Sends nothing more on a replaced connection, and reads it until the exchange ends its side.
+
+        A release that the exchange sends there is repeated on the next connection that is opened, and the one
+        in its place may be open already.
+        """
+        self.log(
+            "exchange_draining",
+            exchange=remote.address.decode(),
+            connection=connection.number,
+            silent=connection.last_received_at <= connection.replaced_since,
+            open=sum(owner is connection for owner in remote.open_set_ups.values()),
+        )
+        self._on_connection_lost(remote, connection)
+        others = self._draining_connections(remote)
+        if len(others) >= MAX_DRAINING_CONNECTIONS:
+            self._close_draining(others[0])
+        self.draining[connection] = remote
+        connection.start_draining(self.loop.now)
 
     def _needs_liveness_test(self, remote: RemoteExchange) -> bool:
         """Returns whether calls stand at the exchange and no other traffic would show a dead connection.
@@ -443,11 +486,14 @@
     def _handle_message(
         self, remote: RemoteExchange, connection: ExchangeConnection, message: Message
     ) -> None:
+        connection.drained_message_count += connection.is_draining
         match message.type:
             case Type.ANM:
                 self._on_answer(remote, connection, message)
             case Type.REL:
                 self._on_release(remote, connection, message)
+            case Type.GROUP if connection.is_draining:
+                pass  # may be older than the report on the connection in its place
             case Type.GROUP:
                 connection.group_report_count += 1
                 remote.group_report = remote.subtract_unreported(self._report_values(message), self.loop.now)
--- a/ospreyvale/program/app.py
+++ b/ospreyvale/program/app.py
@@ -69,6 +69,8 @@
 class AppNetwork(Dialer, Protocol):
     """What the program needs of the network; see `Network`."""
 
+    free_outgoing: Callable[[], bool]
+
     def listen(
         self,
         address: Address,
@@ -138,6 +140,7 @@
             network, self.core, config.report_columns, config.connect_timeout_ms, self.counters, log
         )
         self.sip.exchange_count = lambda: len(self.exchanges.remotes)
+        network.free_outgoing = self.exchanges.free_descriptor
         for event in config.known_events:
             self.exchanges.apply_event(event)
         self.discovery = DiscoveryClient(
--- a/ospreyvale/transport/network.py
+++ b/ospreyvale/transport/network.py
@@ -51,8 +51,12 @@
         """Writes or queues the bytes; returns False if that is not possible."""
         ...
 
+    def write_eof(self) -> None:
+        """Ends the sending side after the queued bytes; bytes from the peer are still received."""
+        ...
+
     def close(self) -> None:
-        """Closes the connection after the queued bytes."""
+        """Closes the connection after the queued bytes; drops what the peer still sends."""
         ...
 
     def detach(self) -> tuple[int, bytes] | None:
@@ -78,7 +82,7 @@
         self.high_priority = high_priority
         self.on_closed = on_closed
         self.closed = self.was_reset = False
-        self._peer_ended = self._closing = False
+        self._peer_ended = self._write_ended = self._closing = False
         self._write_queue = bytearray()
         self._readable = Signal()
         sock.setblocking(False)
@@ -117,9 +121,9 @@
     def send(self, data: bytes) -> bool:
         """Writes or queues the bytes.
 
-        Returns False if the connection is closed, or the peer reads too slowly.
+        Returns False if the connection or its sending side is closed, or the peer reads too slowly.
         """
-        if self.closed or self._closing:
+        if self.closed or self._closing or self._write_ended:
             return False
         self._write_queue += data
         if len(self._write_queue) == len(data):
@@ -128,8 +132,22 @@
             self._reset()
         return not self.closed
 
+    def write_eof(self) -> None:
+        """Ends the sending side once the queued bytes are written; bytes from the peer are still received.
+
+        The peer reads the end of the stream and ends its own side; `receive` then returns b"", and nothing
+        that the peer has sent before is lost, as it would be by `close`.
+        """
+        if not (self.closed or self._closing or self._write_ended):
+            self._write_ended = True
+            if not self._write_queue:
+                self._shut_down_writing()
+
     def close(self) -> None:
-        """Closes the connection once the queued bytes are written, or after CLOSE_TIMEOUT_MS."""
+        """Closes the connection once the queued bytes are written, or after CLOSE_TIMEOUT_MS.
+
+        What the peer sends until it notices is dropped.
+        """
         if not self._write_queue:
             self._close_socket()
         elif not self._closing:
@@ -159,8 +177,16 @@
             return
         if self._closing and not self._write_queue:
             self._close_socket()
-        else:
-            self._watch()
+            return
+        if self._write_ended and not self._write_queue:
+            self._shut_down_writing()
+        self._watch()
+
+    def _shut_down_writing(self) -> None:
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:  # ENOTCONN: the peer has reset the connection
+            self._reset()
 
     def _watch(self) -> None:
         if not self.closed:
@@ -346,6 +372,8 @@
         self.loop = loop
         self.outgoing_connections = 0  # open, or being set up
         self.max_outgoing_connections = math.inf  # limit for connections without high priority
+        # Closes an outgoing connection that can be spared; returns False if there is none.
+        self.free_outgoing: Callable[[], bool] = lambda: False
 
     def listen(
         self,
@@ -388,7 +416,7 @@
         If the process is out of descriptors, waits for one instead of returning None: otherwise the remote
         end would be considered dead.  Waits in the same way while max_outgoing_connections are open, unless
         `high_priority` is set.  This leaves descriptors for callers, whose calls would be lost in the
-        listener's backlog.
+        listener's backlog.  `free_outgoing` may end the wait.
         """
         while True:
             try:
@@ -398,7 +426,8 @@
             except OSError as error:
                 if error.errno not in _RESOURCE_ERRNOS:
                     return None
-            yield from self.loop.sleep(DIAL_RETRY_MS)
+            if not self.free_outgoing():
+                yield from self.loop.sleep(DIAL_RETRY_MS)
         self.outgoing_connections += 1
         sock.setblocking(False)
         connect_errno = sock.connect_ex(address)
--- a/tests/player.py
+++ b/tests/player.py
@@ -12,6 +12,7 @@
     NAME > BYTES           the peer sends                NAME < BYTES     the program sent exactly these
     end NAME               the peer closes its side      reset NAME       the connection is reset
     gone NAME              the program closed it         quiet            no peer has unread data
+    ended NAME             the program ended its side only and still reads
     after MS               time passes                   count NAME N     value of a counter of the program
     mute NAME              the peer answers no probes there from now on
     term                   SIGTERM                       over             the program has ended
@@ -153,7 +154,7 @@
         self.was_reset = False
         self.inbox = bytearray()
         self.sent = bytearray()
-        self.peer_ended = False
+        self.peer_ended = self.write_ended = False
         self.readable = Signal()
 
     def receive(self) -> Generator[Signal, None, bytes]:
@@ -166,6 +167,8 @@
 
     def send(self, data: bytes) -> bool:
         """Answers a probe and records other data; returns False once the connection is closed."""
+        if self.closed or self.write_ended:
+            return False
         # Message type 0x34 is TEST of the platform's ISUP; class 3, type 3 is BEAT of M3UA.
         if self.ignores_probes and (data[2:3] == b"\x34" or data[:4] == b"\x01\x00\x03\x03"):
             pass
@@ -173,10 +176,14 @@
             self.inbox += frame_isup(53, int.from_bytes(data[3:11], "big"), p208=b"\x01")
         elif data[:4] == b"\x01\x00\x03\x03":
             self.inbox += data[:3] + b"\x06" + data[4:]
-        elif not self.closed:
+        else:
             self.sent += data
         self.loop.fire(self.readable)
-        return not self.closed
+        return True
+
+    def write_eof(self) -> None:
+        """Ends the program's side, after which it sends nothing more."""
+        self.write_ended = True
 
     def close(self) -> None:
         """Closes the connection and wakes its reader."""
@@ -209,6 +216,7 @@
         self.name_by_address: dict[Address, str] = {}
         self.links: dict[str, MemoryLink] = {}
         self.dial_ms_by_address: dict[Address, float] = {}
+        self.free_outgoing: Callable[[], bool] = lambda: False
 
     def listen(
         self,
@@ -321,6 +329,9 @@
             links[rest].ignores_probes = True
         elif command == "gone":
             assert links[rest].closed, f"{rest} is still open"
+        elif command == "ended":
+            assert links[rest].write_ended, f"the program still sends on {rest}"
+            assert not links[rest].closed, f"the program has closed {rest}"
         elif command == "quiet":
             sent = {name: bytes(link.sent) for name, link in links.items() if link.sent and not link.closed}
             assert not sent, f"unexpected data was sent: {sent}"
