A replaced connection that is lost asks for another one, which receives copies

Callers could see: a call that its exchange had released is never released to its caller, when the connection that carries the release is reset, spoilt or stalled after another one has taken its place.

Cause: an exchange repeats a release on the next connection to be opened. The one in place of the lost one is open already, so no further one is opened and the copy waits for as long as that one lasts.

Change: after the loss of a replaced connection whose stream did not end cleanly, one more connection is opened; one dialled at the time of the loss is replaced when it is up. The sound connection is used until then (renew_link), also for the renewal after a handover. The end of a connection that was renewed asks for no further one, so an exchange that resets every connection does not cause an endless series.

--- a/ospreyvale/exchanges/connection.py
+++ b/ospreyvale/exchanges/connection.py
@@ -33,8 +33,8 @@
 class ExchangeConnection:
     """One connection to an exchange; `number` identifies it in the log.
 
-    It is replaced when it is suspect, or in a handover.  Once its set-ups have ended it drains: nothing more
-    is sent on it, and it is read until the exchange ends its side.
+    It is replaced when it is suspect, or renewed.  Once its set-ups have ended it drains: nothing more is
+    sent on it, and it is read until the exchange ends its side.
     """
 
     def __init__(self, link: Link, number: int, now: float) -> None:
@@ -48,6 +48,7 @@
         self.response_pending_since = math.inf  # first set-up or test sent since anything was received
         self.replaced_since = math.inf
         self.draining_since = math.inf
+        self.is_renewed = False  # replaced although it was sound
         self.drained_message_count = 0  # messages received since it drains
 
     @property
--- a/ospreyvale/exchanges/isup.py
+++ b/ospreyvale/exchanges/isup.py
@@ -167,9 +167,13 @@
         The second copy replaces releases on connections of the old process that were no longer read.
         """
         for remote in self.remotes.values():
-            if remote.connection is not None and len(remote.connections) < MAX_CONNECTIONS:
-                remote.connection.replaced_since = self.loop.now
-                remote.client.replace_link()
+            self._renew_connection(remote)
+
+    def _renew_connection(self, remote: RemoteExchange) -> None:
+        """Opens another connection in place of a sound one, to receive copies of releases."""
+        if remote.connection is not None and len(remote.connections) < MAX_CONNECTIONS:
+            self.counters["lines_renewed"] += 1
+            remote.client.renew_link()
 
     def pending_releases(self) -> list[tuple[str, int]]:
         """Returns the releases that wait for a connection, as pairs of exchange and call."""
@@ -259,6 +263,7 @@
             releases=len(remote.pending_releases),
             queued=len(remote.queued_set_ups),
         )
+        self._replace_others(remote, connection)
         self._check_connection(remote, connection)
         for call in list(remote.pending_releases):
             del remote.pending_releases[call]
@@ -266,6 +271,9 @@
         for order in list(remote.queued_set_ups.values()):
             del remote.queued_set_ups[order.offer.call]
             self._send_set_up(remote, connection, order)
+        if remote.renewal_due:
+            remote.renewal_due = False
+            self._renew_connection(remote)
         framing_failed = False
         while data := (yield from link.receive()):
             connection.record_receipt(self.loop.now)
@@ -279,6 +287,13 @@
                 break
         self._on_connection_ended(remote, connection, framing_failed)
 
+    def _replace_others(self, remote: RemoteExchange, successor: ExchangeConnection) -> None:
+        """Marks the sound connections that a new one replaces."""
+        for connection in remote.connections:
+            if connection is not successor and not connection.is_replaced:
+                connection.replaced_since = self.loop.now
+                connection.is_renewed = True
+
     def _on_connection_ended(
         self, remote: RemoteExchange, connection: ExchangeConnection, framing_failed: bool
     ) -> None:
@@ -306,6 +321,20 @@
         self.counters["exchanges_lost"] += 1
         if not was_draining:
             self._on_connection_lost(remote, connection)
+        if not complete and not connection.is_renewed:
+            self._recover_releases(remote)
+
+    def _recover_releases(self, remote: RemoteExchange) -> None:
+        """Opens another connection if a release that was lost with a connection has no copy on its way.
+
+        An exchange repeats a release on the next connection that is opened.  If the lost connection had been
+        replaced before, no other one would be opened.
+        """
+        if remote.connection is not None:
+            self._renew_connection(remote)
+        else:
+            # A dial in progress may reach the exchange before the loss does.
+            remote.renewal_due = remote.client.dialling
 
     def _draining_connections(self, remote: RemoteExchange) -> list[ExchangeConnection]:
         return [connection for connection, owner in self.draining.items() if owner is remote]
@@ -432,6 +461,7 @@
             self._end_set_up(remote.address, call, interface.Outcome.CONNECT_FAILED)
 
     def _on_dial_failed(self, remote: RemoteExchange) -> None:
+        remote.renewal_due = False
         self._fail_queued_set_ups(remote)
         if remote.was_connected and not remote.connections:
             # It was connected and cannot be dialled now: its process has ended, and with it every call there.
--- a/ospreyvale/exchanges/remote_exchange.py
+++ b/ospreyvale/exchanges/remote_exchange.py
@@ -23,6 +23,8 @@
         self.address = address
         # At most MAX_CONNECTIONS, the newest last; without those that drain.
         self.connections: list[ExchangeConnection] = []
+        # A release may have been lost while a connection was dialled, which may not receive its copy.
+        self.renewal_due = False
         # Set-ups sent and not ended, with their connection.
         self.open_set_ups: dict[int, ExchangeConnection] = {}
         self.unconfirmed = UnconfirmedAttempts()
--- a/ospreyvale/transport/reconnecting.py
+++ b/ospreyvale/transport/reconnecting.py
@@ -37,6 +37,7 @@
         self.max_retry_delay_ms = max_retry_delay_ms
         self.link: Link | None = None  # the newest connection, while it is open and not replaced
         self.closed = self.dialling = False
+        self._renewing = False  # another connection is wanted beside `link`
         self._retry_now = Signal()
         self._link_replaced = Signal()
         dialer.loop.spawn(self._maintain_connection())
@@ -50,6 +51,14 @@
         self.link = None
         self.dialer.loop.fire(self._link_replaced)
 
+    def renew_link(self) -> None:
+        """Opens another connection, which becomes `link` once it is up; the current one is `link` until then.
+
+        The current one is served until it ends.
+        """
+        self._renewing = True
+        self.dialer.loop.fire(self._link_replaced)
+
     def close(self) -> None:
         """Closes the connection and does not connect again."""
         self.closed = True
@@ -73,9 +82,10 @@
                 link.close()
                 return
             self.link = link
+            self._renewing = False
             retry_delay_ms = MIN_RETRY_DELAY_MS
             self.dialer.loop.spawn(self._serve_link(link))
-            while self.link is link:
+            while self.link is link and not self._renewing:
                 yield self._link_replaced
 
     def _serve_link(self, link: Link) -> Coroutine:
