A BYE that crosses the end of a caller's connection is still accepted

Callers could see: they hang up on a connection that the program ends while it drains or stops; the BYE is dropped, and the call holds its circuits until the exchange ends it.

SipFront closed idle connections in both directions, so what the caller sent until it saw the close was dropped.

A set-up that crosses cannot be answered there, so the connection is closed, as before. Connections that end count for the limit and give their descriptor first.

--- a/ospreyvale/fronts/sip.py
+++ b/ospreyvale/fronts/sip.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from ospreyvale.fronts.drain import Drain
+from ospreyvale.fronts.ending import EndingConnections
 from ospreyvale.fronts.incomplete import IncompleteConnections
 from ospreyvale.protocol import sip
 from ospreyvale.protocol.errors import ProtocolError
@@ -99,6 +100,7 @@
         self.incomplete = IncompleteConnections[CallerConnection](
             loop, counters, lambda caller: bool(caller.open_set_ups)
         )
+        self.ending = EndingConnections[CallerConnection](loop)
         self.connection_by_call: dict[int, CallerConnection] = {}  # until the call ends
         self.pending_releases: OrderedDict[int, int] = OrderedDict()  # cause by call, until a BYE can be sent
 
@@ -110,7 +112,7 @@
         Closes it at once if there are `max_connections` already and none of them can be spared.
         """
         caller = CallerConnection(link)
-        while len(self.idle_connections) + len(self.active_connections) >= self.max_connections:
+        while self.connection_count >= self.max_connections:
             if not self.free_descriptor():
                 self.counters["connections_refused"] += 1
                 link.close()
@@ -121,16 +123,21 @@
         caller.last_received_at = self.loop.now
         yield from self._read_messages(caller)
 
+    @property
+    def connection_count(self) -> int:
+        """Number of connections from callers that hold a descriptor; half-closed ones do not count."""
+        return len(self.idle_connections) + len(self.active_connections) + len(self.ending)
+
     @property
     def has_partial_request(self) -> bool:
         """Whether part of a message was received, whose rest may take up to `INCOMPLETE_TIMEOUT_MS`."""
         return any(caller.reader.has_partial_message for caller in self.incomplete.incomplete_since)
 
     def close(self) -> None:
-        """Closes, at the end of the process, each connection without an open set-up once its data is sent."""
+        """Ends, at the end of the process, each connection without an open set-up once its data is sent."""
         for caller in [*self.idle_connections, *self.active_connections]:
             if not caller.open_set_ups:
-                caller.link.close()
+                self._end_connection(caller)
 
     def share_descriptors(self, processes: int) -> None:
         """Sets how many processes share the descriptors, of which only this one serves callers.
@@ -138,10 +145,7 @@
         Closes connections from callers that are above the new limit, as far as they can be spared.
         """
         self.process_count = processes
-        while (
-            len(self.idle_connections) + len(self.active_connections) > self.max_connections
-            and self.free_descriptor()
-        ):
+        while self.connection_count > self.max_connections and self.free_descriptor():
             pass
 
     @property
@@ -236,15 +240,13 @@
                 self.counters["protocol_errors"] += 1
                 self.log("protocol_error", wire="sip", why=str(error))
                 break
-            if reader.has_partial_message:
+            if reader.has_partial_message and caller not in self.ending:
                 self.incomplete.start_timeout(caller)
             self._close_if_unneeded(caller)
         else:
             caller.peer_ended = not link.closed
-        self.incomplete.stop_timeout(caller)
-        self.silent_connections.pop(caller, None)
-        self.idle_connections.pop(caller, None)
-        self.active_connections.pop(caller, None)
+        self._unregister(caller)
+        self.ending.remove(caller)
         if caller.peer_ended and caller.open_set_ups:
             return  # half-closed: open set-ups are answered first, then `_close_if_unneeded` closes it
         if caller.open_set_ups:
@@ -260,11 +262,13 @@
         """Closes the connection that is needed least; returns False if none can be spared.
 
         Used when the process has run out of descriptors or reached the limit of connections.  One with an
-        open set-up is never closed.  The order is: connections that never sent anything, those stalled inside
-        a message, those idle for longest (the caller connects again), and last those in the middle of a
-        message.  Many clients that connect and send nothing, or half a message, thus do not cost an active
-        caller its connection.
+        open set-up is never closed.  The order is: those that end already, those that never sent anything,
+        those stalled inside a message, those idle for longest (the caller connects again), and last those in
+        the middle of a message.  Many clients that connect and send nothing, or half a message, thus do not
+        cost an active caller its connection.
         """
+        if self.ending.close_oldest():
+            return True
         candidate = next(iter(self.silent_connections), None)
         if candidate is None:
             without_set_ups = [
@@ -275,9 +279,7 @@
             candidate = min(without_set_ups, key=self._closing_order) if without_set_ups else None
         if candidate is None:
             return False
-        for registry in (self.silent_connections, self.idle_connections, self.active_connections):
-            registry.pop(candidate, None)  # at once: the next one may be accepted before its end is processed
-        self.incomplete.stop_timeout(candidate)
+        self._unregister(candidate)  # at once: the next one may be accepted before its end is processed
         candidate.link.close()
         self.counters["connections_shed"] += 1
         return True
@@ -291,6 +293,17 @@
             caller.last_received_at,
         )
 
+    def _unregister(self, caller: CallerConnection) -> None:
+        """Removes a connection from those on which calls may be served and released."""
+        for registry in (self.silent_connections, self.idle_connections, self.active_connections):
+            registry.pop(caller, None)
+        self.incomplete.stop_timeout(caller)
+
+    def _end_connection(self, caller: CallerConnection) -> None:
+        """Ends this side of a connection; a BYE that crosses the end is still accepted, but not answered."""
+        self._unregister(caller)
+        self.ending.start(caller)
+
     # ---- messages from callers ----
 
     def _handle_message(self, caller: CallerConnection, message: sip.Message) -> None:
@@ -337,6 +350,10 @@
                 caller.link.send(sip.encode_response(message, 501))
 
     def _on_invite(self, caller: CallerConnection, message: sip.Message) -> None:
+        if caller in self.ending:  # it cannot be answered here; the caller sends it again elsewhere
+            self.counters["offers_crossed"] += 1
+            caller.link.close()
+            return
         offer = self._parse_offer(message)
         if offer is None:
             self.counters["offers_malformed"] += 1
@@ -460,29 +477,31 @@
             self._close_if_unneeded(caller)
 
     def _close_if_unneeded(self, caller: CallerConnection) -> None:
-        """Closes a connection that is no longer needed.
+        """Closes or ends a connection that is no longer needed.
 
         Either the peer has closed its side and no set-up is open, or a drain is in progress and the
         connection has no call.  One with standing calls is kept, because during a drain no other connection
         may be left to carry their releases to the callers.
         """
-        if (caller.peer_ended and not caller.open_set_ups) or (
+        if caller.peer_ended and not caller.open_set_ups:
+            caller.link.close()
+        elif (
             self.drain.closing
             and not caller.call_count
             and caller in self.active_connections
             and not caller.reader.has_partial_message
         ):
-            caller.link.close()
+            self._end_connection(caller)
 
     def _close_idle(self) -> None:
-        """Closes, during a drain, the connections that are idle."""
+        """Ends, during a drain, the connections that are idle."""
         for caller in [*self.idle_connections, *self.active_connections]:
             if (
                 caller in self.idle_connections
                 and self.loop.now > caller.last_received_at + DRAIN_SILENCE_MS
                 and not caller.reader.has_partial_message
             ):
-                caller.link.close()
+                self._end_connection(caller)
             else:
                 self._close_if_unneeded(caller)
 
