M3UA: an association taken for dead is read until the exchange ends its side

Callers could see: a call released over an association whose heartbeats had gone unanswered is released to its caller only when the exchange repeats its REL (T1 of Q.764, some 15 s), if it does.

Change: the association is given up and dialled again as before; the old connection is half-closed and read, for 8 s at most. Only a REL counts there, and only while its circuit has the call that it had then, so that it does not end a later call on the same circuit.

Tests: m3ua-release-on-a-dead-connection fails on the former code (no BYE); m3ua-faults names the half-closed state, and then the close.

--- a/ospreyvale/exchanges/m3ua.py
+++ b/ospreyvale/exchanges/m3ua.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 
 from ospreyvale.exchanges.association import ClientAssociation
+from ospreyvale.exchanges.connection import DRAIN_TIMEOUT_MS
 from ospreyvale.exchanges.isup import PROBE_TIMEOUT_MS
 from ospreyvale.protocol import m3ua
 from ospreyvale.protocol.errors import ProtocolError
@@ -34,9 +36,12 @@
 class RemoteExchange:
     """One M3UA exchange: its circuits and the call on each."""
 
-    def __init__(self, config: M3uaExchange) -> None:
+    def __init__(
+        self, config: M3uaExchange, create_client: Callable[[RemoteExchange], ReconnectingClient]
+    ) -> None:
         self.config = config
         self.address = f"m-{config.number}".encode()
+        self.client = create_client(self)
         self.association: ClientAssociation | None = None
         self.call_by_cic: dict[int, int] = {}
         self.cic_by_call: dict[int, int] = {}
@@ -87,54 +92,90 @@
         self.log = log
         self.connect_timeout_ms = connect_timeout_ms
         self.last_probe_number = 0
-        self.remotes = {remote.address: remote for remote in map(RemoteExchange, config.exchanges)}
+        remotes = [
+            RemoteExchange(
+                exchange,
+                lambda remote, to=exchange.address: ReconnectingClient(  # type: ignore[misc]
+                    dialer,
+                    to,
+                    connect_timeout_ms,
+                    lambda link: self._serve(remote, link),
+                    lambda: self._on_dial_failed(remote),
+                ),
+            )
+            for exchange in config.exchanges
+        ]
+        self.remotes = {remote.address: remote for remote in remotes}
         core.update_exchanges(
             self, False, tuple(self._exchange_entry(remote) for remote in self.remotes.values())
         )
-        self.clients = []
         for remote in self.remotes.values():
             self._report_group(remote)
-            self.clients.append(
-                ReconnectingClient(
-                    dialer,
-                    remote.config.address,
-                    connect_timeout_ms,
-                    lambda link, remote=remote: self._serve(remote, link),  # type: ignore[misc]
-                    lambda remote=remote: self._on_dial_failed(remote),  # type: ignore[misc]
-                )
-            )
 
     @staticmethod
     def _exchange_entry(remote: RemoteExchange) -> interface.Exchange:
         return interface.Exchange(remote.config.number, remote.address, remote.condition, 0.0)
 
-    def _serve(self, remote: RemoteExchange, link: Link) -> Coroutine:
+    def _create_association(self, remote: RemoteExchange, link: Link) -> ClientAssociation:
+        """Creates the association of a new connection; once it drains, only ends of its calls count."""
+
+        def is_current() -> bool:
+            return remote.association is association
+
+        def on_data(_: RoutingLabel, message: IsupMessage) -> None:
+            if is_current():
+                self._handle_message(remote, message)
+            elif message.type == IsupType.REL and remote.call_by_cic.get(
+                message.cic, 0
+            ) == association.former_calls.get(message.cic):
+                self._on_release(remote, message)
+
         association = ClientAssociation(
             link,
-            lambda routing_label, message: self._handle_message(remote, routing_label, message),
-            lambda: self._on_state_change(remote),
-            lambda ready: self._on_notify(remote, ready),
+            on_data,
+            lambda: self._on_state_change(remote) if is_current() else None,
+            lambda ready: self._on_notify(remote, ready) if is_current() else None,
             lambda number: self._on_beat_ack(remote, number),
         )
+        return association
+
+    def _serve(self, remote: RemoteExchange, link: Link) -> Coroutine:
+        association = self._create_association(remote, link)
         remote.association = association
         # Closes the connection, and so dials again, if ASPUP or ASPAC is not acknowledged in time.
         self.loop.call_at(
             self.loop.now + self.connect_timeout_ms, lambda: None if association.active else link.close()
         )
         while data := (yield from link.receive()):
-            remote.unanswered_beats = 0
+            if remote.association is association:
+                remote.unanswered_beats = 0
             try:
                 association.feed(data)
             except ProtocolError as error:
                 self.counters["protocol_errors"] += 1
                 self.log("protocol_error", wire="m3ua", why=str(error))
                 break
-        remote.association = None
-        remote.unanswered_beats = 0
         self.counters["messages_refused"] += association.malformed_data_count
         self.counters["m3ua_not_active"] += association.unexpected_data_count
+        if remote.association is association:
+            self._give_up_association(remote)
+
+    def _give_up_association(self, remote: RemoteExchange) -> None:
+        remote.association = None
+        remote.unanswered_beats = 0
         self._end_unanswered_set_ups(remote)
 
+    def _drain_association(self, remote: RemoteExchange, association: ClientAssociation) -> None:
+        """Dials again, and reads the old connection until the exchange ends its side.
+
+        A release that arrives on it would be repeated by the exchange only after some 15 s (T1 of Q.764).
+        """
+        self._give_up_association(remote)
+        association.former_calls = dict(remote.call_by_cic)
+        association.link.write_eof()
+        self.loop.call_at(self.loop.now + DRAIN_TIMEOUT_MS, association.link.close)
+        remote.client.replace_link()
+
     def _on_state_change(self, remote: RemoteExchange) -> None:
         if remote.association is not None and remote.association.active:
             for cic in sorted(remote.releasing_cics):  # may not have arrived before the connection was lost
@@ -262,9 +303,7 @@
 
     # ---- messages from exchanges ----
 
-    def _handle_message(
-        self, remote: RemoteExchange, routing_label: RoutingLabel, message: IsupMessage
-    ) -> None:
+    def _handle_message(self, remote: RemoteExchange, message: IsupMessage) -> None:
         call = remote.call_by_cic.get(message.cic)
         match message.type:
             case IsupType.ANM if call is not None:
@@ -272,19 +311,7 @@
                     remote.standing_calls.add(call)
                     self.core.on_answer(call, remote.address, message.description)
             case IsupType.REL:
-                self._send(remote, IsupMessage(message.cic, IsupType.RLC))
-                if call is not None:
-                    stood = call in remote.standing_calls
-                    self._free_circuit(remote, message.cic)
-                    self.core.on_end(call, remote.address, self._end_from_cause(message.cause, stood))
-                elif (
-                    reserved := remote.reserved_calls.pop(message.cic, None)
-                ) is not None and self.core.other_process:
-                    self.core.other_process.report_end(
-                        reserved, self._end_from_cause(message.cause, True).outcome
-                    )
-                elif message.cic not in remote.releasing_cics:  # else both sides released; RLC follows
-                    self.counters["m3ua_unknown_cic"] += 1
+                self._on_release(remote, message)
             case IsupType.RLC if call is not None:
                 # Acknowledges a release that was never sent: the exchange treats the circuit as idle, so the
                 # call has ended there.  It is released here too, with its outcome in doubt (Q.764, 2.9.5.1).
@@ -300,6 +327,20 @@
             case _:
                 self.counters["m3ua_unknown_cic"] += 1
 
+    def _on_release(self, remote: RemoteExchange, message: IsupMessage) -> None:
+        call = remote.call_by_cic.get(message.cic)
+        self._send(remote, IsupMessage(message.cic, IsupType.RLC))
+        if call is not None:
+            stood = call in remote.standing_calls
+            self._free_circuit(remote, message.cic)
+            self.core.on_end(call, remote.address, self._end_from_cause(message.cause, stood))
+        elif (
+            reserved := remote.reserved_calls.pop(message.cic, None)
+        ) is not None and self.core.other_process:
+            self.core.other_process.report_end(reserved, self._end_from_cause(message.cause, True).outcome)
+        elif message.cic not in remote.releasing_cics:  # else both sides released; RLC follows
+            self.counters["m3ua_unknown_cic"] += 1
+
     @staticmethod
     def _end_from_cause(cause: int, stood: bool) -> AttemptEnd:
         """Returns how an attempt ended, or a standing call if `stood`, by the cause of the REL."""
@@ -324,7 +365,7 @@
         if remote.unanswered_beats >= MAX_UNANSWERED_BEATS and remote.association is not None:
             # The peer's M3UA layer answers heartbeats whatever the exchange's load: the connection is dead.
             self.counters["lines_dead"] += 1
-            remote.association.link.close()
+            self._drain_association(remote, remote.association)
         self.core.on_probe_result(remote.address, interface.Outcome.TIMEOUT, self.loop.now - sent_at)
 
     # ---- circuits ----
