--- a/ospreyvale/exchanges/isup.py
+++ b/ospreyvale/exchanges/isup.py
@@ -8,11 +8,13 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import Counter
 
 from ospreyvale.exchanges.connection import ExchangeConnection
 from ospreyvale.exchanges.releases import SetUpRelease, interpret_release, set_up_end
-from ospreyvale.exchanges.remote_exchange import MAX_CONNECTIONS, RemoteExchange
+from ospreyvale.exchanges.remote_exchange import RemoteExchange
+from ospreyvale.exchanges.supervision import ConnectionSupervisor
 from ospreyvale.protocol import eventbus, isup
 from ospreyvale.protocol.errors import ProtocolError
 from ospreyvale.protocol.isup import Cause, Code, Message, Type
@@ -37,10 +39,7 @@
     "utilization": "util",
     "allowed": "qps",
 }
-CHECK_INTERVAL_MS = 25.0  # between two checks of a connection
 MAX_PENDING_RELEASES = 1_024  # releases that wait for a connection, for one exchange
-MAX_DRAINING_CONNECTIONS = 4  # to one exchange
-MIN_DRAIN_MS = 500.0  # before a draining connection is closed for the sake of another one
 CONDITION_BY_STATE = {
     eventbus.READY: interface.Condition.READY,
     eventbus.DRAINING: interface.Condition.DRAINING,
@@ -68,8 +67,10 @@
         self.counters = counters
         self.log = log
         self.remotes: dict[bytes, RemoteExchange] = {}
-        self.draining: dict[ExchangeConnection, RemoteExchange] = {}  # the longest draining first
-        self.last_test_number = 0
+        self.test_numbers = itertools.count(1)
+        self.supervisor = ConnectionSupervisor(
+            self.loop, core, self.test_numbers, counters, log, self._on_connection_lost
+        )
         self.last_connection_number = 0
 
     # ---- the list of exchanges ----
@@ -139,9 +140,7 @@
             for connection in list(remote.connections):
                 connection.link.close()
                 self._on_connection_lost(remote, connection)
-            for connection in self._draining_connections(remote):
-                del self.draining[connection]
-                connection.link.close()
+            self.supervisor.remove_exchange(remote)
 
     # ---- handover between processes ----
 
@@ -167,13 +166,7 @@
         The second copy replaces releases on connections of the old process that were no longer read.
         """
         for remote in self.remotes.values():
-            self._renew_connection(remote)
-
-    def _renew_connection(self, remote: RemoteExchange) -> None:
-        """Opens another connection in place of a sound one, to receive copies of releases."""
-        if remote.connection is not None and len(remote.connections) < MAX_CONNECTIONS:
-            self.counters["lines_renewed"] += 1
-            remote.client.renew_link()
+            self.supervisor.renew_connection(remote)
 
     def pending_releases(self) -> list[tuple[str, int]]:
         """Returns the releases that wait for a connection, as pairs of exchange and call."""
@@ -241,8 +234,7 @@
                 lambda: self.core.on_probe_result(address, interface.Outcome.CONNECT_FAILED, 0.0),
             )
             return
-        self.last_test_number += 1
-        number = self.last_test_number
+        number = next(self.test_numbers)
         remote.probes[number] = self.loop.now, connection
         connection.record_request(self.loop.now, is_set_up=False)
         connection.link.send(isup.encode(Message(Type.TEST, number, {Code.CAUSE: b"\x00"})))
@@ -263,17 +255,14 @@
             releases=len(remote.pending_releases),
             queued=len(remote.queued_set_ups),
         )
-        self._replace_others(remote, connection)
-        self._check_connection(remote, connection)
+        self.supervisor.start(remote, connection)
         for call in list(remote.pending_releases):
             del remote.pending_releases[call]
             link.send(self._encode_release(call))
         for order in list(remote.queued_set_ups.values()):
             del remote.queued_set_ups[order.offer.call]
             self._send_set_up(remote, connection, order)
-        if remote.renewal_due:
-            remote.renewal_due = False
-            self._renew_connection(remote)
+        self.supervisor.renew_if_due(remote)
         framing_failed = False
         while data := (yield from link.receive()):
             connection.record_receipt(self.loop.now)
@@ -285,157 +274,7 @@
                 self.log("protocol_error", wire="isup", why=str(error))
                 framing_failed = True
                 break
-        self._on_connection_ended(remote, connection, framing_failed)
-
-    def _replace_others(self, remote: RemoteExchange, successor: ExchangeConnection) -> None:
-        """Marks the sound connections that a new one replaces."""
-        for connection in remote.connections:
-            if connection is not successor and not connection.is_replaced:
-                connection.replaced_since = self.loop.now
-                connection.is_renewed = True
-
-    def _on_connection_ended(
-        self, remote: RemoteExchange, connection: ExchangeConnection, framing_failed: bool
-    ) -> None:
-        was_draining = self.draining.pop(connection, None) is not None
-        if not was_draining and connection not in remote.connections:
-            return  # the exchange was removed from the list
-        # Everything was received if the exchange has ended its side and this side was still open.
-        complete = not (
-            framing_failed
-            or connection.link.was_reset
-            or connection.link.closed
-            or connection.reader.has_partial_message
-        )
-        self.log(
-            "exchange_lost",
-            exchange=remote.address.decode(),
-            connection=connection.number,
-            reset=connection.link.was_reset,
-            spoilt=framing_failed,
-            doubted=connection.is_replaced,
-            drained=connection.drained_message_count if was_draining else None,
-            complete=complete,
-            open=sum(owner is connection for owner in remote.open_set_ups.values()),
-        )
-        self.counters["exchanges_lost"] += 1
-        if not was_draining:
-            self._on_connection_lost(remote, connection)
-        if not complete and not connection.is_renewed:
-            self._recover_releases(remote)
-
-    def _recover_releases(self, remote: RemoteExchange) -> None:
-        """Opens another connection if a release that was lost with a connection has no copy on its way.
-
-        An exchange repeats a release on the next connection that is opened.  If the lost connection had been
-        replaced before, no other one would be opened.
-        """
-        if remote.connection is not None:
-            self._renew_connection(remote)
-        else:
-            # A dial in progress may reach the exchange before the loss does.
-            remote.renewal_due = remote.client.dialling
-
-    def _draining_connections(self, remote: RemoteExchange) -> list[ExchangeConnection]:
-        return [connection for connection, owner in self.draining.items() if owner is remote]
-
-    def free_descriptor(self) -> bool:
-        """Closes the connection that has drained for longest; returns False if none can be spared."""
-        connection = next(iter(self.draining), None)
-        if connection is None or self.loop.now < connection.draining_since + MIN_DRAIN_MS:
-            return False
-        self._close_draining(connection)
-        return True
-
-    def _close_draining(self, connection: ExchangeConnection) -> None:
-        self.log(
-            "exchange_drain_ended",
-            exchange=self.draining.pop(connection).address.decode(),
-            connection=connection.number,
-        )
-        connection.link.close()
-
-    def _check_connection(self, remote: RemoteExchange, connection: ExchangeConnection) -> None:
-        """Tests, replaces and retires a connection; repeats until it is closed.
-
-        All messages sent on a dead connection would be lost, and all that the exchange sends there about
-        standing calls.
-        """
-        if connection.link.closed:
-            return
-        if connection in remote.connections:
-            self._check_open_connection(remote, connection)
-        elif connection.has_drain_timed_out(self.loop.now):
-            connection.link.close()
-        if not connection.link.closed:
-            self.loop.call_at(
-                self.loop.now + CHECK_INTERVAL_MS, lambda: self._check_connection(remote, connection)
-            )
-
-    def _check_open_connection(self, remote: RemoteExchange, connection: ExchangeConnection) -> None:
-        now = self.loop.now
-        has_open_set_ups = remote.has_open_set_ups(connection)
-        if connection is remote.connection:
-            if connection.is_idle(now) and self._needs_liveness_test(remote):
-                self._send_liveness_test(connection)
-            if len(remote.connections) < MAX_CONNECTIONS and connection.is_unresponsive(
-                now, has_open_set_ups
-            ):
-                self.counters["lines_doubted"] += 1
-                self.log("exchange_suspect", exchange=remote.address.decode(), connection=connection.number)
-                connection.replaced_since = now
-                remote.client.replace_link()
-        if connection.has_stalled_message(now):
-            self.counters["lines_dead"] += 1
-            connection.replaced_since = min(connection.replaced_since, now)
-            connection.link.close()
-        elif connection.is_dead(now, remote.successor_receives):
-            self.counters["lines_dead"] += 1
-            self._drain_connection(remote, connection)
-        elif connection.is_replaced and not has_open_set_ups and remote.connection is not None:
-            self._drain_connection(remote, connection)
-
-    def _send_liveness_test(self, connection: ExchangeConnection) -> None:
-        connection.record_request(self.loop.now, is_set_up=False)
-        self.last_test_number += 1
-        connection.link.send(isup.encode(Message(Type.TEST, self.last_test_number, {Code.CAUSE: b"\x00"})))
-
-    def _drain_connection(self, remote: RemoteExchange, connection: ExchangeConnection) -> None:
-        """Sends nothing more on a replaced connection, and reads it until the exchange ends its side.
-
-        A release that the exchange sends there is repeated on the next connection that is opened, and the one
-        in its place may be open already.
-        """
-        self.log(
-            "exchange_draining",
-            exchange=remote.address.decode(),
-            connection=connection.number,
-            silent=connection.last_received_at <= connection.replaced_since,
-            open=sum(owner is connection for owner in remote.open_set_ups.values()),
-        )
-        self._on_connection_lost(remote, connection)
-        others = self._draining_connections(remote)
-        if len(others) >= MAX_DRAINING_CONNECTIONS:
-            self._close_draining(others[0])
-        self.draining[connection] = remote
-        connection.start_draining(self.loop.now)
-
-    def _needs_liveness_test(self, remote: RemoteExchange) -> bool:
-        """Returns whether calls stand at the exchange and no other traffic would show a dead connection.
-
-        The decision module neither probes a draining exchange nor sends set-ups to it.  If the release of a
-        call there went to a dead connection, it would be noticed only when the exchange itself ends: too
-        late.
-        """
-        entry = self.core.context.exchange_table.entries.get(remote.address)
-        return (
-            entry is not None
-            and entry.exchange.condition is not interface.Condition.READY
-            and any(
-                state.attempt is not None and state.attempt.exchange.address == remote.address
-                for state in self.core.context.call_table.calls.values()
-            )
-        )
+        self.supervisor.end(remote, connection, framing_failed)
 
     def _on_connection_lost(self, remote: RemoteExchange, connection: ExchangeConnection) -> None:
         """Ends the set-ups that were open on a lost connection; standing calls go on.
--- a/ospreyvale/program/app.py
+++ b/ospreyvale/program/app.py
@@ -140,7 +140,7 @@
             network, self.core, config.report_columns, config.connect_timeout_ms, self.counters, log
         )
         self.sip.exchange_count = lambda: len(self.exchanges.remotes)
-        network.free_outgoing = self.exchanges.free_descriptor
+        network.free_outgoing = self.exchanges.supervisor.free_descriptor
         for event in config.known_events:
             self.exchanges.apply_event(event)
         self.discovery = DiscoveryClient(
--- a/tests/test_exchange_connections.py
+++ b/tests/test_exchange_connections.py
@@ -15,8 +15,8 @@
     SET_UP_RESPONSE_TIMEOUT_MS,
     ExchangeConnection,
 )
-from ospreyvale.exchanges.isup import MAX_DRAINING_CONNECTIONS, MIN_DRAIN_MS
 from ospreyvale.exchanges.remote_exchange import RemoteExchange
+from ospreyvale.exchanges.supervision import MAX_DRAINING_CONNECTIONS, MIN_DRAIN_MS
 from ospreyvale.transport.loop import Coroutine, Loop
 from ospreyvale.transport.network import Connection, Link, Network
 from tests.player import MemoryLink, Player
@@ -202,7 +202,7 @@
     assert remote.connection is not None and not remote.connection.link.closed
     player.advance(DRAIN_TIMEOUT_MS)
     assert all(link.closed for link in links)
-    assert not player.start().exchanges.draining
+    assert not player.start().exchanges.supervisor.draining
 
 
 def test_the_longest_draining_connection_gives_way_to_a_new_one() -> None:
@@ -210,11 +210,11 @@
     player = Player()
     links, _ = renewed(player, 2)
     exchanges = player.start().exchanges
-    assert not exchanges.free_descriptor()
+    assert not exchanges.supervisor.free_descriptor()
     player.advance(MIN_DRAIN_MS - 40.0)
-    assert exchanges.free_descriptor()
+    assert exchanges.supervisor.free_descriptor()
     assert [link.closed for link in links] == [True, False]
-    assert not exchanges.free_descriptor()
+    assert not exchanges.supervisor.free_descriptor()
 
 
 def test_a_removed_exchange_leaves_no_draining_connection() -> None:
@@ -224,4 +224,4 @@
     exchanges = player.start().exchanges
     exchanges._remove_exchange(remote.address)
     player.advance(30.0)
-    assert links[0].closed and not exchanges.draining
+    assert links[0].closed and not exchanges.supervisor.draining
