--- a/ospreyvale/fronts/sip.py
+++ b/ospreyvale/fronts/sip.py
@@ -9,13 +9,13 @@
 from ospreyvale.fronts.drain import Drain
 from ospreyvale.fronts.ending import EndingConnections
 from ospreyvale.fronts.incomplete import IncompleteConnections
+from ospreyvale.fronts.offer import OfferLimits, parse_offer
 from ospreyvale.protocol import sip
 from ospreyvale.protocol.errors import ProtocolError
 from ospreyvale.protocol.handover import bytes_to_text, text_to_bytes
 from ospreyvale.routing import interface
 from ospreyvale.routing.context import Log
 from ospreyvale.routing.core import Core
-from ospreyvale.routing.state import Offer
 from ospreyvale.transport.loop import Coroutine, Loop
 from ospreyvale.transport.network import Link
 
@@ -81,14 +81,13 @@
         self.node_name = node_name
         self.drain = drain
         drain.sweep_callbacks.append(self._close_idle)
-        self.customers = frozenset(customers)
-        self.max_circuits_per_call = max_circuits_per_call
         self.max_descriptors = max_descriptors
         self.process_count = 1
         # Returns the number of exchanges that need descriptors; set by the owner of their connections.
         self.exchange_count: Callable[[], int] = lambda: 0
-        self.class_index_by_name = {class_name: index for index, class_name in enumerate(class_names)}
-        self.max_patience_ms = max_patience_ms  # longest wait of a caller for its answer, by class index
+        self.offer_limits = OfferLimits(
+            class_names, max_patience_ms, frozenset(customers), max_circuits_per_call
+        )
         self.counters = counters
         self.log = log
         # Connections that have carried set-ups, the most recent last.
@@ -354,7 +353,7 @@
             self.counters["offers_crossed"] += 1
             caller.link.close()
             return
-        offer = self._parse_offer(message)
+        offer = parse_offer(message, self.offer_limits)
         if offer is None:
             self.counters["offers_malformed"] += 1
             self._reject_malformed(caller, message, 400)
@@ -379,44 +378,6 @@
         if not self.core.offer(offer, self):
             self._remove_set_up(offer.call)
 
-    def _parse_offer(self, message: sip.Message) -> Offer | None:
-        """Returns the call that an INVITE offers; None where a field has no valid value."""
-        call = message.call
-        trunk_info = sip.parse_trunk_info(message)
-        name = message.header("priority-class")
-        class_index = self.class_index_by_name.get(name)
-        customer = message.header("p-customer")
-        width = trunk_info.get("width", 1)
-        if (
-            class_index is None
-            or trunk_info.get("dest", -1) < 0
-            or not 1 <= width <= self.max_circuits_per_call
-            or (customer and self.customers and customer not in self.customers)
-        ):
-            return None
-        patience_ms = (
-            float(message.number("expires-ms"))
-            if "expires-ms" in message.headers
-            else self.max_patience_ms[class_index]
-        )
-        if not 0.0 < patience_ms <= self.max_patience_ms[class_index]:
-            return None
-        called_number = message.user
-        return Offer(
-            call,
-            trunk_info["dest"],
-            sip.parse_called_number(called_number),
-            called_number,
-            patience_ms,
-            class_index,
-            name,
-            message.body,
-            width,
-            trunk_info.get("via", -1),
-            transit=trunk_info.get("transit", 0) == 1,
-            cut=trunk_info.get("again", 0) == 1,
-        )
-
     # ---- answers of the core (CallerPort) ----
 
     def answer(self, call: int, description: bytes) -> None:
