A call that is over before its answer arrives fails for its caller

Cause: an answer may arrive seconds late. The exchange then releases the call (cause 16) before its answer is here. interpret_release took such a release for one that may concern an earlier attempt (AMBIGUOUS), also where there was none: the set-up was given up, counted as reset and tried again.

Change: without an earlier attempt at that exchange, cause 16 before the answer ends the call (ENDS_CALL): the caller gets 504 and no further attempt is sent. The release toward the exchange stays. Other causes are read as before.

--- a/ospreyvale/exchanges/isup.py
+++ b/ospreyvale/exchanges/isup.py
@@ -419,11 +419,11 @@
             self.counters["ends_stale"] += 1
             self._log_ignored(remote, connection, message)
             return
-        certain = meaning is SetUpRelease.ENDS_SET_UP
-        end = set_up_end(message, certain, self._report_values(message))
+        end = set_up_end(message, meaning, self._report_values(message))
         del remote.open_set_ups[call]
-        if not certain:
-            self.counters["ends_ambiguous"] += 1
+        if meaning is not SetUpRelease.ENDS_SET_UP:
+            is_over = meaning is SetUpRelease.ENDS_CALL
+            self.counters["calls_over_unanswered" if is_over else "ends_ambiguous"] += 1
             self._give_up_set_up(remote, connection, call)
         self.core.on_end(call, remote.address, end)
 
--- a/ospreyvale/exchanges/releases.py
+++ b/ospreyvale/exchanges/releases.py
@@ -34,6 +34,7 @@
     """What a release proves of the set-up."""
 
     ENDS_SET_UP = "ends_set_up"
+    ENDS_CALL = "ends_call"  # the call stood and is over; its answer was lost or is late
     STALE = "stale"  # it concerns an earlier attempt
     AMBIGUOUS = "ambiguous"  # the set-up may have ended, or may be out
 
@@ -43,13 +44,15 @@
 ) -> SetUpRelease:
     """Returns what a release of a call proves of its set-up on the connection.
 
-    Only the causes in OUTCOME_BY_CAUSE end a set-up.  Any other cause ends a call that stood, or responds to
-    a release from this side.  A refusal of an earlier attempt is sent on the connection of that attempt only,
-    the end of a call on any.
+    Only the causes in OUTCOME_BY_CAUSE end a set-up.  The cause NORMAL ends a call that stood, and any other
+    one may respond to a release from this side.  A refusal of an earlier attempt is sent on the connection of
+    that attempt only, the end of a call on any.
     """
     call = message.call
     if message.cause not in OUTCOME_BY_CAUSE:
-        return SetUpRelease.STALE if call in unconfirmed else SetUpRelease.AMBIGUOUS
+        if call in unconfirmed:
+            return SetUpRelease.STALE
+        return SetUpRelease.ENDS_CALL if message.cause == Cause.NORMAL else SetUpRelease.AMBIGUOUS
     may_be_of_earlier_attempt = (
         call in unconfirmed
         if message.cause == Cause.TEMPORARY_FAILURE
@@ -58,10 +61,15 @@
     return SetUpRelease.AMBIGUOUS if may_be_of_earlier_attempt else SetUpRelease.ENDS_SET_UP
 
 
-def set_up_end(message: Message, certain: bool, report: tuple[float, ...]) -> AttemptEnd:
-    """Returns how a release ends a set-up, which is in doubt unless `certain`."""
+def set_up_end(message: Message, meaning: SetUpRelease, report: tuple[float, ...]) -> AttemptEnd:
+    """Returns how a release ends a set-up, which is in doubt if its meaning is AMBIGUOUS."""
+    outcome = interface.Outcome.RESET
+    if meaning is SetUpRelease.ENDS_SET_UP:
+        outcome = OUTCOME_BY_CAUSE[message.cause]
+    elif meaning is SetUpRelease.ENDS_CALL:
+        outcome = interface.Outcome.OK
     return AttemptEnd(
-        OUTCOME_BY_CAUSE[message.cause] if certain else interface.Outcome.RESET,
+        outcome,
         CAUSE_BY_NOTE.get(message.text(Code.NOTE), interface.Cause.NONE),
         message.number(Code.BACK_OFF),
         report,
--- a/ospreyvale/routing/interface.py
+++ b/ospreyvale/routing/interface.py
@@ -47,6 +47,7 @@
     HELD = "held"  # by a hold of the own or the remote exchange, until its wait was over
     NO_ROUTE = "no_route"  # no circuit, tandem or share of a cold exchange, until its wait was over
     EXPIRED = "expired"  # the caller's time is over
+    OVER_UNANSWERED = "over_unanswered"  # it stood at an exchange and ended before its answer arrived
 
 
 class Condition(Enum):
--- a/ospreyvale/routing/stages/relay.py
+++ b/ospreyvale/routing/stages/relay.py
@@ -40,18 +40,25 @@
 
 
 def relay_end(context: Context, state: CallState, end: AttemptEnd) -> None:
-    """Passes on that the exchange ended the attempt or the standing call."""
+    """Passes on that the exchange ended the attempt or the standing call.
+
+    The outcome OK of an unanswered attempt says that the call stood at the exchange and is over: it fails, as
+    another attempt would run it twice.
+    """
     stood = state.standing
+    over_unanswered = not stood and end.outcome is interface.Outcome.OK
     now = context.clock.now
     attempt = context.call_table.end_attempt(now, state, end.outcome)
     context.counters[f"{'calls' if stood else 'attempts'}_{end.outcome.value}"] += 1
     if not stood:
         log_attempt_end(context, state, attempt, end.outcome, end.cause)
-        if end.outcome is not interface.Outcome.MOOT:
+        if end.outcome not in (interface.Outcome.MOOT, interface.Outcome.OK):
             record_set_up_time(context, state, attempt, "in_doubt" if end.outcome in IN_DOUBT else "refused")
     if stood:
         state.caller.release(state.call, end.outcome)
         finish_call(context, state, end.outcome.value)
+    elif over_unanswered:
+        relay_final(context, state, Final.FAILED, interface.RefusalReason.OVER_UNANSWERED)
     context.notify_control(
         interface.Ended(
             state.call,
@@ -59,7 +66,7 @@
             attempt.exchange.address,
             end.outcome,
             now - attempt.sent_at,
-            stood,
+            stood or over_unanswered,
             end.cause,
             end.wait_ms,
             end.report,
