--- a/lab/faults/exchange.py
+++ b/lab/faults/exchange.py
@@ -6,11 +6,12 @@
 from dataclasses import dataclass
 
 from lab.faults.line import AnswerFault, FaultRates, FaultyLine
+from lab.faults.path import DelayedLink
 from lab.faults.record import Attempt, Record
 from ospreyvale.protocol import isup
 from ospreyvale.protocol.isup import Cause, Code, Message, Type
 from ospreyvale.transport.loop import Coroutine
-from ospreyvale.transport.network import Address, Link, ListeningSocket, Network
+from ospreyvale.transport.network import Address, Connection, Link, ListeningSocket, Network
 
 CIRCUITS = 40
 MIN_RESPONSE_MS = 4.0
@@ -48,6 +49,7 @@
         record: Record,
         rates: FaultRates,
         source: random.Random,
+        one_way_ms: float = 0.0,
     ) -> None:
         self.network = network
         self.loop = network.loop
@@ -56,6 +58,7 @@
         self.record = record
         self.rates = rates
         self.source = source
+        self.one_way_ms = one_way_ms  # of the path between the program and the exchange
         self.lines: list[FaultyLine] = []
         self.open_attempts: dict[tuple[int, int], tuple[Attempt, FaultyLine]] = {}
         self.standing: list[StandingCall] = []
@@ -100,7 +103,10 @@
     def _resume(line: FaultyLine) -> None:
         line.mute = False
 
-    def _serve(self, link: Link) -> Coroutine:
+    def _serve(self, connection: Link) -> Coroutine:
+        link = connection
+        if self.one_way_ms and isinstance(connection, Connection):
+            link = DelayedLink(self.loop, connection, self.one_way_ms)
         line = FaultyLine(self.loop, link, self.rates, self.source)
         self.lines.append(line)
         self._report_group(line)
--- a/lab/faults/scenario.py
+++ b/lab/faults/scenario.py
@@ -33,6 +33,7 @@
 CROWD_FACTOR = 4.0
 NOTICE_MS = (200.0, 1_500.0)  # from a change of an exchange to its event
 MAX_CONCURRENT_RUNS = 5
+ONE_WAY_MS = (4.0, 16.0)  # of a path with a delay
 LATE_TURN_MS = 10.0  # a turn of the peers' loop as long as this delays what they observe
 
 
@@ -71,7 +72,9 @@
 class Run:
     """One program with its peers, and the troubles that befall them."""
 
-    def __init__(self, network: Network, seed: int, duration_ms: float, directory: Path) -> None:
+    def __init__(
+        self, network: Network, seed: int, duration_ms: float, directory: Path, delayed_paths: bool = False
+    ) -> None:
         self.network = network
         self.loop = network.loop
         self.seed = seed
@@ -81,13 +84,9 @@
         self.record = Record()
         self.troubles: Counter[str] = Counter()
         self.result: RunResult | None = None
+        self.path_source = random.Random(seed + 2) if delayed_paths else None
         names = [f"s-{seed & 0xFFFF:04x}{number:04x}" for number in range(self.source.randint(3, 5))]
-        self.exchanges = [
-            ExchangeStandIn(
-                network, free_address(), name, self.record, draw_rates(self.source), random.Random(name)
-            )
-            for name in names
-        ]
+        self.exchanges = [self._create_exchange(name) for name in names]
         self.started_ms = [0] * len(names)
         self.replacement_count = 0
         self.ended_exchanges: list[ExchangeStandIn] = []
@@ -112,6 +111,17 @@
         self.expected_to_run = True
         self.loop.spawn(self._play())
 
+    def _create_exchange(self, name: str) -> ExchangeStandIn:
+        return ExchangeStandIn(
+            self.network,
+            free_address(),
+            name,
+            self.record,
+            draw_rates(self.source),
+            random.Random(name),
+            self.path_source.uniform(*ONE_WAY_MS) if self.path_source is not None else 0.0,
+        )
+
     def _start_program(self) -> Program:
         for event in self.bus.events:  # the configuration tells of all of them
             self._on_event_sent(event)
@@ -261,9 +271,7 @@
         former_target = self._target(number, eventbus.DRAINING)
         self.replacement_count += 1
         name = f"s-{self.seed & 0xFFFF:04x}{0xFF00 - self.replacement_count:04x}"
-        self.exchanges[number] = ExchangeStandIn(
-            self.network, free_address(), name, self.record, draw_rates(self.source), random.Random(name)
-        )
+        self.exchanges[number] = self._create_exchange(name)
         self.ended_exchanges.append(former)
         self.started_ms[number] = int(self.loop.now)
         self.bus.publish(former_target)
@@ -338,9 +346,16 @@
 
 
 def play(
-    seeds: list[int], duration_ms: float, directory: Path, concurrent: int = MAX_CONCURRENT_RUNS
+    seeds: list[int],
+    duration_ms: float,
+    directory: Path,
+    concurrent: int = MAX_CONCURRENT_RUNS,
+    delayed_paths: bool = False,
 ) -> list[RunResult]:
-    """Plays one run for each seed, several at a time, and returns their results in the order of the seeds."""
+    """Plays one run for each seed, several at a time, and returns their results in the order of the seeds.
+
+    With `delayed_paths`, messages between the program and the exchanges take some milliseconds.
+    """
     network = Network(Loop())
     waiting = list(reversed(seeds))
     active: list[Run] = []
@@ -349,7 +364,7 @@
     try:
         while waiting or active:
             while waiting and len(active) < concurrent:
-                active.append(Run(network, waiting.pop(), duration_ms, directory))
+                active.append(Run(network, waiting.pop(), duration_ms, directory, delayed_paths))
             network.loop.turn()
             turn_ms = network.loop.read_clock() - network.loop.now
             if turn_ms > LATE_TURN_MS:
--- a/tests/test_fault_runs.py
+++ b/tests/test_fault_runs.py
@@ -11,6 +11,7 @@
 
 SEEDS = list(range(1, 11))  # longer runs: python -m lab.faults
 DURATION_MS = 12_000.0
+SEEDS_WITH_DELAY = [502, 503, 504, 505, 506]
 CALL = 0xB1
 NOW = 1_000_000.0
 
@@ -24,6 +25,13 @@
     assert {"hang", "reset_lines", "restart_exchange", "restart_program", "kill_program"} <= set(troubles)
 
 
+def test_no_release_is_lost_on_paths_with_a_delay(tmp_path: Path) -> None:
+    """Guards against dropping what an exchange has sent on a connection that the program stops using."""
+    results = play(SEEDS_WITH_DELAY, DURATION_MS, tmp_path, delayed_paths=True)
+    assert [(result.seed, result.faults) for result in results if result.faults] == []
+    assert all(result.calls > 50 and result.attempts > 50 for result in results)
+
+
 def attempt(arrived_ms: float, ended_ms: float, in_doubt: bool = False) -> Attempt:
     """Returns an attempt of CALL with its times after NOW; `ended_ms` 0 stands for one that is out."""
     ended_at = NOW + ended_ms if ended_ms else 0.0
