A heartbeat answered on an M3UA association that drains is no probe result

It would report the old connection's delay for the new one. Doc comments of two properties are clearer.

--- a/ospreyvale/exchanges/m3ua.py
+++ b/ospreyvale/exchanges/m3ua.py
@@ -135,7 +135,7 @@
             on_data,
             lambda: self._on_state_change(remote) if is_current() else None,
             lambda ready: self._on_notify(remote, ready) if is_current() else None,
-            lambda number: self._on_beat_ack(remote, number),
+            lambda number: self._on_beat_ack(remote, number) if is_current() else None,
         )
         return association
 
@@ -161,6 +161,7 @@
             self._give_up_association(remote)
 
     def _give_up_association(self, remote: RemoteExchange) -> None:
+        """Ends what depends on the association; standing calls go on."""
         remote.association = None
         remote.unanswered_beats = 0
         self._end_unanswered_set_ups(remote)
--- a/ospreyvale/fronts/sip.py
+++ b/ospreyvale/fronts/sip.py
@@ -124,7 +124,7 @@
 
     @property
     def connection_count(self) -> int:
-        """Number of connections from callers that hold a descriptor; half-closed ones do not count."""
+        """Number of connections from callers, without those that only wait for answers of this side."""
         return len(self.idle_connections) + len(self.active_connections) + len(self.ending)
 
     @property
--- a/ospreyvale/program/app.py
+++ b/ospreyvale/program/app.py
@@ -69,7 +69,7 @@
 class AppNetwork(Dialer, Protocol):
     """What the program needs of the network; see `Network`."""
 
-    free_outgoing: Callable[[], bool]
+    free_outgoing: Callable[[], bool]  # closes an outgoing connection that can be spared
 
     def listen(
         self,
