--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -239,7 +239,8 @@
         free = max(0, self.circuits - len(self.open) - len(self.standing))
         return f"x0:{free};x1:{self.circuits};eps:0;latency_ms:1".encode()
 
-    def _tell_group(self) -> None:
+    def tell_group(self) -> None:
+        """Sends the state of the group on the open connections, as at each change of it."""
         for line in self.lines[:4]:
             line.write(encode(GROUP, 0, {REPORT: self._report()}))
 
@@ -272,7 +273,7 @@
             self.arrivals.append((now_ms(), call))
             self.record.say(f"{self.name} set-up {call:016x}")
             self.open[call] = line
-            self._tell_group()
+            self.tell_group()
             asyncio.get_running_loop().call_later(self.answer_ms / 1000.0, self._answer, line, call)
         elif kind == REL:
             self.record.say(f"{self.name} gets release of {call:016x}")
@@ -280,7 +281,7 @@
             if self.standing.pop(call, None) is not None:
                 self.over[call] = now_ms(), "controller"
                 line.write(encode(RLC, call, {}))
-            self._tell_group()
+            self.tell_group()
 
     def _answer(self, line: asyncio.StreamWriter, call: int) -> None:
         if self.open.get(call) is not line:
@@ -302,7 +303,7 @@
         if candidates:
             candidates[0].write(encode(REL, call, {CAUSE: b"\x10"}))
         self.unsent.append(call)
-        self._tell_group()
+        self.tell_group()
 
 
 # ---- the network between the program and an exchange ----
@@ -789,7 +790,7 @@
 
     async def start(
         self,
-        count: int = 3,
+        count: int = 5,
         site: Callable[[dict[str, Any]], dict[str, Any]] = lambda values: values,
         in_front: dict[int, Callable[[Exchange], Awaitable[int]]] | None = None,
         edge: str = "",
@@ -849,6 +850,10 @@
 
     async def play() -> int:
         world = World(Path(file).resolve().parent)
+        me = asyncio.current_task()
+        assert me is not None
+        for number in (signal.SIGTERM, signal.SIGINT):  # a case that is stopped ends what it has started, too
+            asyncio.get_running_loop().add_signal_handler(number, me.cancel)
         try:
             broken = await asyncio.wait_for(case(world), TIME_LIMIT_S)
         except Exception as error:  # whatever fails here is no verdict on the program
@@ -865,6 +870,10 @@
         print(f"the rule was {verdict}")
         return 1 if broken else 0
 
-    status = asyncio.run(play())
+    try:
+        status = asyncio.run(play())
+    except BaseException as error:
+        print(f"could not run: {type(error).__name__}")
+        status = 2
     sys.stdout.flush()
     os._exit(status)
