--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -42,12 +42,16 @@
     return time.time() * 1000.0
 
 
+_reserved: list[socket.socket] = []
+
+
 def free_port() -> int:
-    """Returns a port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Returns a free port, which stays reserved for a listener with SO_REUSEPORT, as the program's is."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    sock.bind(("127.0.0.1", 0))
+    _reserved.append(sock)
+    return int(sock.getsockname()[1])
 
 
 class Record:
@@ -70,13 +74,14 @@
 class Bus:
     """Discovery: keeps the numbered events and sends each connection those after the number it names.
 
-    `lag_s` is how late the frames reach a connection, as from a slow or crowded service.
+    `turn_s` is how long a new connection waits for its turn, as at a slow or crowded service; from then on it
+    gets every frame at once.
     """
 
     def __init__(self, record: Record) -> None:
         self.record = record
         self.events: list[dict[str, Any]] = []
-        self.lag_s = 0.0
+        self.turn_s = 0.0
         self.told_at: dict[int, float] = {}
         self.connections: set[asyncio.StreamWriter] = set()
         self.changed = asyncio.Event()
@@ -129,41 +134,25 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections.add(writer)
-        lag_s = self.lag_s
         try:
             last = struct.unpack(">Q", await reader.readexactly(8))[0]
-            self.record.say(f"bus connection after event {last}, lag {lag_s}")
+            self.record.say(f"bus connection after event {last}, served in {self.turn_s} s")
             ended = asyncio.ensure_future(reader.read(1))
-            frames: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue()
-            sender = asyncio.ensure_future(self._send_late(writer, frames))
-            if last >= len(self.events):
-                frames.put_nowait((time.monotonic() + lag_s, self._frame(last, 0, b"")))
+            await asyncio.wait([ended], timeout=self.turn_s)
+            if not ended.done():
+                self.record.say("bus connection is served")
+                writer.write(self._frame(last, 0, b""))
             while not ended.done():
                 while last < len(self.events):
                     event = self.events[last]
                     last += 1
-                    payload = b"".join(
-                        struct.pack(
-                            ">I4sHBBBHIQ",
-                            t["uid"],
-                            socket.inet_aton("127.0.0.1"),
-                            t["port"],
-                            t["state"],
-                            0,
-                            0,
-                            t["cell"],
-                            1000,
-                            0,
-                        )
-                        for t in event["targets"]
-                    )
-                    frames.put_nowait((time.monotonic() + lag_s, self._frame(last, 1 if event["all"] else 2, payload)))
+                    payload = b"".join(map(self._encode_target, event["targets"]))
+                    writer.write(self._frame(last, 1 if event["all"] else 2, payload))
                 changed = asyncio.ensure_future(self.changed.wait())
                 await asyncio.wait([ended, changed], timeout=1.0, return_when=asyncio.FIRST_COMPLETED)
                 if not changed.done():
                     changed.cancel()
-                    frames.put_nowait((time.monotonic() + lag_s, self._frame(last, 0, b"")))
-            sender.cancel()
+                    writer.write(self._frame(last, 0, b""))
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
@@ -172,15 +161,13 @@
             writer.close()
 
     @staticmethod
-    def _frame(number: int, kind: int, payload: bytes) -> bytes:
-        return struct.pack(">IQB", 9 + len(payload), number, kind) + payload
+    def _encode_target(t: dict[str, Any]) -> bytes:
+        address = socket.inet_aton("127.0.0.1")
+        return struct.pack(">I4sHBBBHIQ", t["uid"], address, t["port"], t["state"], 0, 0, t["cell"], 1000, 0)
 
     @staticmethod
-    async def _send_late(writer: asyncio.StreamWriter, frames: asyncio.Queue[tuple[float, bytes]]) -> None:
-        while True:
-            due_at, frame = await frames.get()
-            await asyncio.sleep(max(0.0, due_at - time.monotonic()))
-            writer.write(frame)
+    def _frame(number: int, kind: int, payload: bytes) -> bytes:
+        return struct.pack(">IQB", 9 + len(payload), number, kind) + payload
 
 
 # ---- exchanges ----
