--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -787,7 +787,7 @@
         await self.bus.start()
         self.exchanges = [Exchange(self.record, f"exchange-{cell}", cell) for cell in range(count)]
         targets = []
-        for exchange in self.exchanges:
+        for exchange in list(self.exchanges):
             await exchange.start()
             target = exchange.target
             if in_front and exchange.cell in in_front:
