--- a/ospreyvale/exchanges/connection.py
+++ b/ospreyvale/exchanges/connection.py
@@ -8,6 +8,7 @@
 import math
 
 from ospreyvale.protocol import isup
+from ospreyvale.protocol.isup import Code, Message, Type
 from ospreyvale.transport.network import Link
 
 # An exchange reports its circuit group within 3 ms of receiving a set-up, whatever the load of its processor.
@@ -50,6 +51,9 @@
         self.draining_since = math.inf
         self.is_renewed = False  # replaced although it was sound
         self.drained_message_count = 0  # messages received since it drains
+        self.last_release_at = -math.inf  # last release written
+        self.last_test_number = 0  # 0: none was sent
+        self.last_test_at = -math.inf
 
     @property
     def is_replaced(self) -> bool:
@@ -72,6 +76,13 @@
         if is_set_up:
             self.set_up_pending_since = min(self.set_up_pending_since, now)
 
+    def send_test(self, number: int, now: float) -> None:
+        """Sends a test with that number, which its answer returns."""
+        self.record_request(now, is_set_up=False)
+        self.last_test_number = number
+        self.last_test_at = now
+        self.link.send(isup.encode(Message(Type.TEST, number, {Code.CAUSE: b"\x00"})))
+
     def is_idle(self, now: float) -> bool:
         """Returns whether nothing is awaited on it, and nothing was received for a while."""
         return self.response_pending_since == math.inf and now > self.last_received_at + IDLE_BEFORE_TEST_MS
--- a/ospreyvale/exchanges/isup.py
+++ b/ospreyvale/exchanges/isup.py
@@ -69,7 +69,13 @@
         self.remotes: dict[bytes, RemoteExchange] = {}
         self.test_numbers = itertools.count(1)
         self.supervisor = ConnectionSupervisor(
-            self.loop, core, self.test_numbers, counters, log, self._on_connection_lost
+            self.loop,
+            core,
+            self.test_numbers,
+            counters,
+            log,
+            self._on_connection_lost,
+            self._repeat_releases,
         )
         self.last_connection_number = 0
 
@@ -169,15 +175,15 @@
             self.supervisor.renew_connection(remote)
 
     def pending_releases(self) -> list[tuple[str, int]]:
-        """Returns the releases that wait for a connection, as pairs of exchange and call."""
+        """Returns the releases that no exchange has acknowledged, as pairs of exchange and call."""
         return [
             (remote.address.decode(), call)
             for remote in self.remotes.values()
-            for call in remote.pending_releases
+            for call in [*remote.pending_releases, *remote.unacknowledged.calls()]
         ]
 
     def import_pending_releases(self, releases: list[tuple[str, int]]) -> None:
-        """Sends, or queues again, the releases that another process had queued."""
+        """Sends, or queues, the releases of another process that may not have arrived."""
         for name, call in releases:
             self.release(call, name.encode())
 
@@ -215,7 +221,7 @@
 
     def _give_up_set_up(self, remote: RemoteExchange, connection: ExchangeConnection, call: int) -> None:
         """Releases a set-up that is out; a message about it may be on its way."""
-        connection.link.send(self._encode_release(call))
+        self._write_release(remote, connection, call)
         remote.unconfirmed.add(call, connection.number, self.loop.now)
 
     def release(self, call: int, address: bytes) -> None:
@@ -236,8 +242,7 @@
             return
         number = next(self.test_numbers)
         remote.probes[number] = self.loop.now, connection
-        connection.record_request(self.loop.now, is_set_up=False)
-        connection.link.send(isup.encode(Message(Type.TEST, number, {Code.CAUSE: b"\x00"})))
+        connection.send_test(number, self.loop.now)
         self.loop.call_at(self.loop.now + PROBE_TIMEOUT_MS, lambda: self._on_probe_timeout(remote, number))
 
     # ---- connections ----
@@ -258,7 +263,7 @@
         self.supervisor.start(remote, connection)
         for call in list(remote.pending_releases):
             del remote.pending_releases[call]
-            link.send(self._encode_release(call))
+            self._write_release(remote, connection, call)
         for order in list(remote.queued_set_ups.values()):
             del remote.queued_set_ups[order.offer.call]
             self._send_set_up(remote, connection, order)
@@ -321,6 +326,8 @@
             self._end_set_up(remote.address, offer.call, interface.Outcome.CONNECT_FAILED)
             return
         remote.open_set_ups[offer.call] = connection
+        # Repeated from now on, the release of an earlier attempt would end this one.
+        remote.unacknowledged.remove(offer.call)
         remote.set_ups_sent_at.append(self.loop.now)
         connection.record_request(self.loop.now, is_set_up=True)
         self.counters["upstream_requests"] += 1
@@ -339,14 +346,29 @@
             )
         )
 
-    @staticmethod
-    def _encode_release(call: int) -> bytes:
-        return isup.encode(Message(Type.REL, call, {Code.CAUSE: bytes([Cause.NORMAL])}))
+    def _write_release(self, remote: RemoteExchange, connection: ExchangeConnection, call: int) -> None:
+        connection.link.send(isup.encode(Message(Type.REL, call, {Code.CAUSE: bytes([Cause.NORMAL])})))
+        connection.last_release_at = self.loop.now
+        remote.unacknowledged.add(call, Cause.NORMAL, connection, self.loop.now)
+
+    def _repeat_releases(self, remote: RemoteExchange, connection: ExchangeConnection) -> None:
+        """Sends the releases again that may have been lost with a connection."""
+        releases = remote.unacknowledged.take(connection)
+        if releases:
+            self.counters["releases_repeated"] += len(releases)
+            self.log(
+                "releases_repeated",
+                exchange=remote.address.decode(),
+                connection=connection.number,
+                calls=[f"{release.call:016x}" for release in releases],
+            )
+        for release in releases:
+            self._send_release(remote, release.call)
 
     def _send_release(self, remote: RemoteExchange, call: int) -> None:
         connection = remote.connection
         if connection is not None:
-            connection.link.send(self._encode_release(call))
+            self._write_release(remote, connection, call)
         elif len(remote.pending_releases) < MAX_PENDING_RELEASES:
             remote.pending_releases[call] = None
 
@@ -368,9 +390,12 @@
                 remote.group_report = remote.subtract_unreported(self._report_values(message), self.loop.now)
                 self.core.on_group_change(remote.address, remote.group_report)
             case Type.TESTED:
+                self._confirm_releases(remote, connection, message.call)
                 self._on_test_result(remote, message)
-            case Type.ACM | Type.RLC:
-                pass  # progress and acknowledgements: no action
+            case Type.RLC:
+                remote.unacknowledged.remove(message.call)
+            case Type.ACM:
+                pass  # progress: no action
             case _:
                 self.counters["messages_unknown"] += 1  # a type that only this side sends
 
@@ -440,6 +465,15 @@
             open_on=owner.number if owner is not None else None,
         )
 
+    @staticmethod
+    def _confirm_releases(remote: RemoteExchange, connection: ExchangeConnection, test_number: int) -> None:
+        """Removes the releases that the exchange has read before the test that it answers.
+
+        Exchanges need not acknowledge releases, but they read a connection in order.
+        """
+        if remote.unacknowledged and test_number == connection.last_test_number:
+            remote.unacknowledged.remove_sent_before(connection.last_test_at, connection)
+
     def _on_test_result(self, remote: RemoteExchange, message: Message) -> None:
         probe = remote.probes.pop(message.call, None)
         if probe is not None:
--- a/ospreyvale/exchanges/remote_exchange.py
+++ b/ospreyvale/exchanges/remote_exchange.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from ospreyvale.exchanges.connection import ExchangeConnection
+from ospreyvale.exchanges.unacknowledged import UnacknowledgedReleases
 from ospreyvale.exchanges.unconfirmed import UnconfirmedAttempts
 from ospreyvale.routing.state import SetUpOrder
 from ospreyvale.transport.reconnecting import ReconnectingClient
@@ -30,6 +31,7 @@
         self.unconfirmed = UnconfirmedAttempts()
         self.queued_set_ups: dict[int, SetUpOrder] = {}  # set-ups that wait for a connection
         self.pending_releases: dict[int, None] = {}  # releases that wait for a connection
+        self.unacknowledged = UnacknowledgedReleases[ExchangeConnection]()  # releases that were sent
         # Unanswered probes: send time and connection.
         self.probes: dict[int, tuple[float, ExchangeConnection]] = {}
         # Send times of set-ups that reports may not include yet.
--- a/ospreyvale/exchanges/supervision.py
+++ b/ospreyvale/exchanges/supervision.py
@@ -12,8 +12,6 @@
 
 from ospreyvale.exchanges.connection import ExchangeConnection
 from ospreyvale.exchanges.remote_exchange import MAX_CONNECTIONS, RemoteExchange
-from ospreyvale.protocol import isup
-from ospreyvale.protocol.isup import Code, Message, Type
 from ospreyvale.routing import interface
 from ospreyvale.routing.context import Log
 from ospreyvale.routing.core import Core
@@ -27,7 +25,8 @@
 class ConnectionSupervisor:
     """Watches over the connections to all exchanges.
 
-    Calls `on_lost` once nothing more can be sent on a connection, while it may still be read.
+    Calls `on_lost` once nothing more can be sent on a connection, while it may still be read, and
+    `repeat_releases` once what was sent on it may have been lost.
     """
 
     def __init__(
@@ -38,6 +37,7 @@
         counters: Counter[str],
         log: Log,
         on_lost: Callable[[RemoteExchange, ExchangeConnection], None],
+        repeat_releases: Callable[[RemoteExchange, ExchangeConnection], None],
     ) -> None:
         self.loop = loop
         self.core = core
@@ -45,6 +45,7 @@
         self.counters = counters
         self.log = log
         self.on_lost = on_lost
+        self.repeat_releases = repeat_releases
         self.draining: dict[ExchangeConnection, RemoteExchange] = {}  # the longest draining first
 
     def start(self, remote: RemoteExchange, connection: ExchangeConnection) -> None:
@@ -103,6 +104,10 @@
         self.counters["exchanges_lost"] += 1
         if not was_draining:
             self.on_lost(remote, connection)
+        if was_draining and complete:
+            remote.unacknowledged.take(connection)  # the exchange has read to the end of this side
+        else:
+            self.repeat_releases(remote, connection)
         if not complete and not connection.is_renewed:
             self._recover_releases(remote)
 
@@ -159,7 +164,7 @@
         has_open_set_ups = remote.has_open_set_ups(connection)
         if connection is remote.connection:
             if connection.is_idle(now) and self._needs_liveness_test(remote):
-                self._send_liveness_test(connection)
+                connection.send_test(next(self.test_numbers), now)
             if len(remote.connections) < MAX_CONNECTIONS and connection.is_unresponsive(
                 now, has_open_set_ups
             ):
@@ -174,13 +179,10 @@
         elif connection.is_dead(now, remote.successor_receives):
             self.counters["lines_dead"] += 1
             self._drain_connection(remote, connection)
+            self.repeat_releases(remote, connection)
         elif connection.is_replaced and not has_open_set_ups and remote.connection is not None:
             self._drain_connection(remote, connection)
 
-    def _send_liveness_test(self, connection: ExchangeConnection) -> None:
-        connection.record_request(self.loop.now, is_set_up=False)
-        connection.link.send(isup.encode(Message(Type.TEST, next(self.test_numbers), {Code.CAUSE: b"\x00"})))
-
     def _drain_connection(self, remote: RemoteExchange, connection: ExchangeConnection) -> None:
         """Sends nothing more on a replaced connection, and reads it until the exchange ends its side.
 
--- a/ospreyvale/operations/handover.py
+++ b/ospreyvale/operations/handover.py
@@ -175,17 +175,24 @@
         """
         if not self.handed_over:
             return
-        if (
-            not self.parts.core.context.call_table.calls
-            and self.target_channel is not None
-            and self.target_channel.flushed
-        ):
+        if self.parts.core.context.call_table.calls or self.target_channel is None:
+            self.parts.loop.call_at(self.parts.loop.now + CHECK_INTERVAL_MS, self._finish_when_idle)
+        else:
+            # Those on their way may be lost with the connections of this process.
+            self.target_channel.send(encode("unheard", releases=self.parts.exchanges.pending_releases()))
+            self._finish_when_flushed()
+
+    def _finish_when_flushed(self) -> None:
+        """Ends the handover once the last frame is written; does nothing if the new process has ended."""
+        if not self.handed_over or self.target_channel is None:
+            return
+        if self.target_channel.flushed:
             # Cleared first, so that the closed channel does not make this process serve callers again.
             self.handed_over = False
             self.target_channel.close()
             self.on_finished()
         else:
-            self.parts.loop.call_at(self.parts.loop.now + CHECK_INTERVAL_MS, self._finish_when_idle)
+            self.parts.loop.call_at(self.parts.loop.now + CHECK_INTERVAL_MS, self._finish_when_flushed)
 
     def _on_channel_closed(self) -> None:
         """Handles the end of the new process.
@@ -327,6 +334,8 @@
                 core.context.call_table.add_ended_calls(frame["over"])
                 parts.sip.pending_releases.update(dict(frame["releases"]))
                 parts.exchanges.import_pending_releases(frame["unheard"])
+            case "unheard":
+                parts.exchanges.import_pending_releases(frame["releases"])
             case "circuits" if parts.m3ua_exchanges is not None:
                 parts.m3ua_exchanges.reserve_circuits(frame["in_use"])
             case "call":
--- a/tests/test_exchange_connections.py
+++ b/tests/test_exchange_connections.py
@@ -17,6 +17,7 @@
 )
 from ospreyvale.exchanges.remote_exchange import RemoteExchange
 from ospreyvale.exchanges.supervision import MAX_DRAINING_CONNECTIONS, MIN_DRAIN_MS
+from ospreyvale.exchanges.unacknowledged import MAX_UNACKNOWLEDGED, UnacknowledgedReleases
 from ospreyvale.transport.loop import Coroutine, Loop
 from ospreyvale.transport.network import Connection, Link, Network
 from tests.player import MemoryLink, Player
@@ -225,3 +226,39 @@
     exchanges._remove_exchange(remote.address)
     player.advance(30.0)
     assert links[0].closed and not exchanges.supervisor.draining
+
+
+def test_releases_on_a_drained_connection_are_repeated_unless_the_exchange_has_read_them() -> None:
+    """Guards against losing a release with a connection that drains, and against one copy too many."""
+    player = Player()
+    player.network.name_by_address[EXCHANGE_ADDRESS] = "exchange"
+    app = player.start()
+    player.advance(5.0)
+    remote = app.exchanges.remotes[EXCHANGE_ID]
+    for call, is_clean in ((0xA1, True), (0xA2, False)):
+        link = player.network.links["exchange"]
+        app.exchanges.release(call, EXCHANGE_ID)
+        app.exchanges.renew_connections()
+        player.advance(40.0)
+        assert link.write_ended and call in remote.unacknowledged
+        link.peer_ended, link.was_reset = is_clean, not is_clean
+        if not is_clean:
+            link.close()
+        player.loop.fire(link.readable)
+        player.advance(5.0)
+        assert (call in remote.unacknowledged) is not is_clean
+    assert app.counters["releases_repeated"] == 1
+
+
+def test_unacknowledged_releases_are_bounded_and_belong_to_one_connection() -> None:
+    releases = UnacknowledgedReleases[str]()
+    for call in range(MAX_UNACKNOWLEDGED + 1):
+        releases.add(call, 16, "a", float(call))
+    assert len(releases) == MAX_UNACKNOWLEDGED and 0 not in releases
+    releases.add(1, 16, "b", 1e6)
+    releases.remove_sent_before(1e6, "b")
+    assert 1 in releases and 2 in releases
+    releases.remove_sent_before(3.0, "a")
+    assert 2 not in releases and 3 in releases
+    assert [release.call for release in releases.take("b")] == [1]
+    assert len(releases.take("a")) == MAX_UNACKNOWLEDGED - 2 and not releases
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -214,6 +214,24 @@
     new._shut_down()
 
 
+def test_unacknowledged_releases_of_the_old_process_are_sent_again_by_the_new_one(
+    scenario: HandoverScenario,
+) -> None:
+    """Guards against calls left standing because a release was lost with a connection of the old process."""
+    scenario.establish_call(0xA1)
+    scenario.send_request("BYE", 0xA1)
+    scenario.wait_until(lambda: (Type.REL, 0xA1) in scenario.exchange_messages())
+    scenario.send_request("INVITE", 0xB1)
+    scenario.wait_until(lambda: (Type.IAM, 0xB1) in scenario.exchange_messages())
+    new = scenario.replace_process()
+    scenario.wait_until(lambda: scenario.exchange_messages().count((Type.REL, 0xA1)) == 2)
+    # A call of the old process ends there just before the process does.
+    scenario.send_request("CANCEL", 0xB1)
+    scenario.wait_until(lambda: "replaced" in scenario.events(1))
+    scenario.wait_until(lambda: scenario.exchange_messages().count((Type.REL, 0xB1)) == 2)
+    new._shut_down()
+
+
 def test_without_an_old_process_or_with_a_stale_socket_the_program_starts_on_its_own(tmp_path: Path) -> None:
     stale = socket.socket(socket.AF_UNIX)
     stale.bind(str(tmp_path / "n0.handover"))
