A BYE that is lost with a caller's connection is sent again on another one

What callers saw: nothing, where their connection was reset with the BYE for an ended call on its way, though they had other connections; the call was over and they were never told. Change: a BYE is kept until a final response to it; one whose connection was reset or closed by this side within 8 s, or ended by the caller within 1 s, is queued again. Counter byes_repeated.

--- a/ospreyvale/fronts/sip.py
+++ b/ospreyvale/fronts/sip.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
+from ospreyvale.exchanges.unacknowledged import UnacknowledgedReleases
 from ospreyvale.fronts.drain import Drain
 from ospreyvale.fronts.ending import EndingConnections
 from ospreyvale.fronts.incomplete import IncompleteConnections
@@ -30,6 +31,10 @@
 # A partial message without new bytes for so long has stalled, as slow senders write more often.
 PARTIAL_MESSAGE_STALL_MS = 1_000.0
 DRAIN_SILENCE_MS = 500.0  # in a drain, a connection that never carried a set-up may be silent for so long
+# A release that a connection lost so long after it was sent is of no use to the caller any more.
+REPEAT_RELEASE_MS = 8_000.0
+# One that was sent so shortly before the caller ended its connection may have crossed that end.
+CROSSING_RELEASE_MS = 1_000.0
 MAX_CONSECUTIVE_FAULTS = 32  # a connection with so many consecutive malformed requests is closed
 
 
@@ -102,6 +107,7 @@
         self.ending = EndingConnections[CallerConnection](loop)
         self.connection_by_call: dict[int, CallerConnection] = {}  # until the call ends
         self.pending_releases: OrderedDict[int, int] = OrderedDict()  # cause by call, until a BYE can be sent
+        self.unacknowledged = UnacknowledgedReleases[CallerConnection]()  # BYEs sent and not answered
 
     # ---- connections ----
 
@@ -172,6 +178,7 @@
         )
         self.connection_by_call.clear()
         self.pending_releases.clear()
+        self.unacknowledged.clear()  # they are on connections that go on
         for caller in callers:
             open_set_ups = caller.open_set_ups
             caller.open_set_ups = {}
@@ -245,6 +252,7 @@
         else:
             caller.peer_ended = not link.closed
         self._unregister(caller)
+        self._repeat_releases(caller)
         self.ending.remove(caller)
         if caller.peer_ended and caller.open_set_ups:
             return  # half-closed: open set-ups are answered first, then `_close_if_unneeded` closes it
@@ -335,6 +343,7 @@
                     self.core.give_up(message.call)
             case "BYE":
                 self.counters["byes_taken"] += 1
+                self.unacknowledged.remove(message.call)  # the BYEs of both sides have crossed
                 is_accepted = self.core.hang_up(message.call)
                 if is_accepted:
                     self._remove_call(message.call)
@@ -343,8 +352,10 @@
                 caller.link.send(sip.encode_response(message, 503 if self.drain.active else 200))
             case "ACK" | "NOTIFY":
                 pass  # neither is answered
+            case "" if message.cseq_method == "BYE":
+                self.unacknowledged.remove(message.call)
             case "":
-                pass  # a response: only our BYE gets one
+                pass  # a response to no request of this side
             case _:
                 caller.link.send(sip.encode_response(message, 501))
 
@@ -404,9 +415,7 @@
         while len(self.pending_releases) > MAX_PENDING_RELEASES:
             self.pending_releases.popitem(last=False)
         candidates = [caller] if caller is not None and caller in self.active_connections else []
-        for candidate in [*candidates, *reversed(self.active_connections)]:
-            if self._send_releases(candidate):
-                break
+        self._send_pending_releases(candidates)
         self._remove_call(call)
 
     # ---- internals ----
@@ -466,6 +475,29 @@
             else:
                 self._close_if_unneeded(caller)
 
+    def _send_pending_releases(self, preferred: list[CallerConnection]) -> None:
+        """Sends BYE for all queued releases on one connection, if any is open."""
+        for candidate in [*preferred, *reversed(self.active_connections)]:
+            if self._send_releases(candidate):
+                break
+
+    def _repeat_releases(self, caller: CallerConnection) -> None:
+        """Sends the releases again that may have been lost with a connection, on another one."""
+        releases = self.unacknowledged.take(caller)
+        if not releases:
+            return
+        was_read_to_the_end = caller.peer_ended and caller in self.ending
+        reach_ms = CROSSING_RELEASE_MS if caller.peer_ended else REPEAT_RELEASE_MS
+        lost = [
+            release
+            for release in releases
+            if not was_read_to_the_end and release.sent_at > self.loop.now - reach_ms
+        ]
+        self.counters["byes_repeated"] += len(lost)
+        for release in lost:
+            self.pending_releases[release.call] = release.cause
+        self._send_pending_releases([])
+
     def _send_releases(self, caller: CallerConnection) -> bool:
         """Sends BYE for all queued releases on this connection; returns False if it is closed."""
         while self.pending_releases:
@@ -473,5 +505,7 @@
             if not caller.link.send(sip.encode_bye(call, cause, self.node_name)):
                 return False
             del self.pending_releases[call]
+            self.unacknowledged.add(call, cause, caller, self.loop.now)
+            self.unacknowledged.remove_sent_before(self.loop.now - REPEAT_RELEASE_MS)
             self.counters["byes_sent"] += 1
         return True
