--- a/ospreyvale/exchanges/association.py
+++ b/ospreyvale/exchanges/association.py
@@ -135,6 +135,7 @@
         self.on_state_change = on_state_change
         self.on_notify = on_notify
         self.on_beat_ack = on_beat_ack
+        self.last_received_at = 0.0  # Unix milliseconds
         self.former_calls: dict[int, int] = {}  # calls by CIC when it began to drain
         link.send(m3ua.encode(Kind.ASPUP))
 
--- a/ospreyvale/exchanges/connection.py
+++ b/ospreyvale/exchanges/connection.py
@@ -17,7 +17,10 @@
 # Answers to tests and set-ups wait for the processor.  A connection is also suspect if nothing is received
 # for so long while one of them is unanswered.
 RESPONSE_TIMEOUT_MS = 400.0
-IDLE_BEFORE_TEST_MS = 500.0  # a connection that serves only standing calls is tested after so long a silence
+# A connection that serves only standing calls is checked after so long a silence, as it may be dead.  Callers
+# have to learn within 8 s of an end that an exchange could not send anywhere.
+IDLE_BEFORE_CHECK_MS = 4_000.0
+IDLE_BEFORE_CHECK_OF_DRAINING_MS = 500.0  # the same, if the exchange is about to end with all its calls
 # RESPONSE_TIMEOUT_MS does not apply to a younger connection, as a hanging processor is silent on new ones
 # too.
 MIN_SUSPECT_AGE_MS = 1_000.0
@@ -83,9 +86,9 @@
         self.last_test_at = now
         self.link.send(isup.encode(Message(Type.TEST, number, {Code.CAUSE: b"\x00"})))
 
-    def is_idle(self, now: float) -> bool:
-        """Returns whether nothing is awaited on it, and nothing was received for a while."""
-        return self.response_pending_since == math.inf and now > self.last_received_at + IDLE_BEFORE_TEST_MS
+    def is_idle(self, now: float, idle_ms: float) -> bool:
+        """Returns whether nothing is awaited on it, and nothing was received for `idle_ms`."""
+        return self.response_pending_since == math.inf and now > self.last_received_at + idle_ms
 
     def is_unresponsive(self, now: float, has_open_set_ups: bool) -> bool:
         """Returns whether an expected message has not arrived in time."""
--- a/ospreyvale/exchanges/m3ua.py
+++ b/ospreyvale/exchanges/m3ua.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from ospreyvale.exchanges.association import ClientAssociation
-from ospreyvale.exchanges.connection import DRAIN_TIMEOUT_MS
+from ospreyvale.exchanges.connection import DRAIN_TIMEOUT_MS, IDLE_BEFORE_CHECK_MS
 from ospreyvale.exchanges.isup import PROBE_TIMEOUT_MS
 from ospreyvale.protocol import m3ua
 from ospreyvale.protocol.errors import ProtocolError
@@ -22,6 +22,7 @@
 from ospreyvale.transport.reconnecting import ReconnectingClient
 
 MAX_UNANSWERED_BEATS = 3  # consecutive ones, after which a connection is dead
+ASSOCIATION_CHECK_INTERVAL_MS = 500.0  # between two checks of an association
 # Outcome and cause of a set-up that an exchange refuses with REL; ERROR for any other cause.
 END_BY_CAUSE = {
     Cause.NO_CIRCUIT: (interface.Outcome.FULL, interface.Cause.NO_CIRCUIT),
@@ -141,12 +142,15 @@
 
     def _serve(self, remote: RemoteExchange, link: Link) -> Coroutine:
         association = self._create_association(remote, link)
+        association.last_received_at = self.loop.now
         remote.association = association
+        self._check_association(remote, association)
         # Closes the connection, and so dials again, if ASPUP or ASPAC is not acknowledged in time.
         self.loop.call_at(
             self.loop.now + self.connect_timeout_ms, lambda: None if association.active else link.close()
         )
         while data := (yield from link.receive()):
+            association.last_received_at = self.loop.now
             if remote.association is association:
                 remote.unanswered_beats = 0
             try:
@@ -362,12 +366,41 @@
         sent_at = remote.probes.pop(number, None)
         if sent_at is None:
             return
+        self._count_unanswered_beat(remote)
+        self.core.on_probe_result(remote.address, interface.Outcome.TIMEOUT, self.loop.now - sent_at)
+
+    def _count_unanswered_beat(self, remote: RemoteExchange) -> None:
         remote.unanswered_beats += 1
         if remote.unanswered_beats >= MAX_UNANSWERED_BEATS and remote.association is not None:
             # The peer's M3UA layer answers heartbeats whatever the exchange's load: the connection is dead.
             self.counters["lines_dead"] += 1
             self._drain_association(remote, remote.association)
-        self.core.on_probe_result(remote.address, interface.Outcome.TIMEOUT, self.loop.now - sent_at)
+
+    def _check_association(self, remote: RemoteExchange, association: ClientAssociation) -> None:
+        """Sends a heartbeat on a silent association that serves only standing calls; repeats until it ends.
+
+        Its loss would not be noticed otherwise where the decision module sends no probes, nor that of a
+        release.
+        """
+        if remote.association is not association or association.link.closed:
+            return
+        now = self.loop.now
+        is_idle = now > association.last_received_at + IDLE_BEFORE_CHECK_MS
+        if association.active and is_idle and (remote.standing_calls or remote.releasing_cics):
+            self.last_probe_number += 1
+            association.send_beat(self.last_probe_number)
+            self.loop.call_at(
+                now + PROBE_TIMEOUT_MS, lambda: self._on_liveness_timeout(remote, association, now)
+            )
+        self.loop.call_at(
+            now + ASSOCIATION_CHECK_INTERVAL_MS, lambda: self._check_association(remote, association)
+        )
+
+    def _on_liveness_timeout(
+        self, remote: RemoteExchange, association: ClientAssociation, sent_at: float
+    ) -> None:
+        if remote.association is association and association.last_received_at < sent_at:
+            self._count_unanswered_beat(remote)
 
     # ---- circuits ----
 
--- a/ospreyvale/exchanges/supervision.py
+++ b/ospreyvale/exchanges/supervision.py
@@ -10,7 +10,11 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 
-from ospreyvale.exchanges.connection import ExchangeConnection
+from ospreyvale.exchanges.connection import (
+    IDLE_BEFORE_CHECK_MS,
+    IDLE_BEFORE_CHECK_OF_DRAINING_MS,
+    ExchangeConnection,
+)
 from ospreyvale.exchanges.remote_exchange import MAX_CONNECTIONS, RemoteExchange
 from ospreyvale.routing import interface
 from ospreyvale.routing.context import Log
@@ -163,8 +167,7 @@
         now = self.loop.now
         has_open_set_ups = remote.has_open_set_ups(connection)
         if connection is remote.connection:
-            if connection.is_idle(now) and self._needs_liveness_test(remote):
-                connection.send_test(next(self.test_numbers), now)
+            self._check_liveness(remote, connection, has_open_set_ups)
             if len(remote.connections) < MAX_CONNECTIONS and connection.is_unresponsive(
                 now, has_open_set_ups
             ):
@@ -203,19 +206,32 @@
         self.draining[connection] = remote
         connection.start_draining(self.loop.now)
 
-    def _needs_liveness_test(self, remote: RemoteExchange) -> bool:
-        """Returns whether calls stand at the exchange and no other traffic would show a dead connection.
+    def _check_liveness(
+        self, remote: RemoteExchange, connection: ExchangeConnection, has_open_set_ups: bool
+    ) -> None:
+        """Tests a silent connection on which releases of calls are due, in either direction.
 
-        The decision module neither probes a draining exchange nor sends set-ups to it.  If the release of a
-        call there went to a dead connection, it would be noticed only when the exchange itself ends: too
-        late.
+        Nothing is sent on it otherwise, so that its loss would not be noticed: that of a release that is on
+        its way, and that the exchange has no connection for the end of a call.  Where the settings allow no
+        tests, another connection is opened in its place.
         """
+        may_test = self.core.control.settings.probing
+        idle_ms = IDLE_BEFORE_CHECK_MS
+        if may_test and not self._is_ready(remote):
+            idle_ms = IDLE_BEFORE_CHECK_OF_DRAINING_MS
+        if not connection.is_idle(self.loop.now, idle_ms) or not self._awaits_release(remote, connection):
+            return
+        if may_test:
+            connection.send_test(next(self.test_numbers), self.loop.now)
+        elif not has_open_set_ups and not remote.client.renewing:
+            self.renew_connection(remote)
+
+    def _awaits_release(self, remote: RemoteExchange, connection: ExchangeConnection) -> bool:
+        """Returns whether calls stand at the exchange, or a release is the last that happened on it."""
+        if remote.address in self.core.context.call_table.standing_by_exchange:
+            return True
+        return bool(remote.unacknowledged) and connection.last_release_at >= connection.last_received_at
+
+    def _is_ready(self, remote: RemoteExchange) -> bool:
         entry = self.core.context.exchange_table.entries.get(remote.address)
-        return (
-            entry is not None
-            and entry.exchange.condition is not interface.Condition.READY
-            and any(
-                state.attempt is not None and state.attempt.exchange.address == remote.address
-                for state in self.core.context.call_table.calls.values()
-            )
-        )
+        return entry is not None and entry.exchange.condition is interface.Condition.READY
--- a/ospreyvale/routing/call_table.py
+++ b/ospreyvale/routing/call_table.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 
 from ospreyvale.routing import interface
 from ospreyvale.routing.exchange_table import ExchangeEntry
@@ -27,6 +27,7 @@
         self.drain_grace_ms = drain_grace_ms
         self.calls: dict[int, CallState] = {}
         self.unanswered = self.standing = 0
+        self.standing_by_exchange = Counter[bytes]()  # by address
         # Ended calls, with the earliest time for another attempt if they are offered again.
         self._ended: OrderedDict[int, float] = OrderedDict()
 
@@ -46,13 +47,14 @@
             return None
         state = CallState(offer, caller, now, now, attempt.number + 1, attempt, 0.0, Final.STANDS, True)
         self.calls[offer.call] = state
-        self.standing += 1
+        self._count_standing(attempt, 1)
         return state
 
     def remove_handed_over(self, state: CallState) -> None:
         """Removes a standing call that another process has taken over, without remembering it as ended."""
         del self.calls[state.call]
-        self.standing -= 1
+        assert state.attempt is not None
+        self._count_standing(state.attempt, -1)
 
     def ended_calls(self) -> list[int]:
         """Returns the remembered ended calls, the latest last."""
@@ -87,7 +89,7 @@
             attempt.timer.cancel()
         if state.standing:
             state.standing = False
-            self.standing -= 1
+            self._count_standing(attempt, -1)
         elif outcome in IN_DOUBT:
             state.earliest_send_at = now + self.release_ms
         return attempt
@@ -101,10 +103,18 @@
         if state.timer is not None:
             state.timer.cancel()
         if final is Final.STANDS:
+            assert state.attempt is not None
             state.standing = True
-            self.standing += 1
+            self._count_standing(state.attempt, 1)
         return True
 
+    def _count_standing(self, attempt: Attempt, change: int) -> None:
+        address = attempt.exchange.address
+        self.standing += change
+        self.standing_by_exchange[address] += change
+        if not self.standing_by_exchange[address]:
+            del self.standing_by_exchange[address]
+
     def remove(self, state: CallState) -> None:
         """Removes a call and remembers it as ended."""
         if self.calls.get(state.call) is state:
--- a/ospreyvale/transport/reconnecting.py
+++ b/ospreyvale/transport/reconnecting.py
@@ -42,6 +42,11 @@
         self._link_replaced = Signal()
         dialer.loop.spawn(self._maintain_connection())
 
+    @property
+    def renewing(self) -> bool:
+        """Whether another connection is wanted beside `link` and not up yet."""
+        return self._renewing
+
     def dial_now(self) -> None:
         """Ends the wait before the next attempt to connect."""
         self.dialer.loop.fire(self._retry_now)
