--- a/ospreyvale/fronts/sip.py
+++ b/ospreyvale/fronts/sip.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter, OrderedDict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Generator, Iterator
 from dataclasses import dataclass
 
 from ospreyvale.exchanges.unacknowledged import UnacknowledgedReleases
@@ -17,7 +17,7 @@
 from ospreyvale.routing import interface
 from ospreyvale.routing.context import Log
 from ospreyvale.routing.core import Core
-from ospreyvale.transport.loop import Coroutine, Loop
+from ospreyvale.transport.loop import Coroutine, Loop, Signal
 from ospreyvale.transport.network import Link
 
 # Q.850 causes of the BYE for a call that has ended; 31 (normal, unspecified) for other outcomes.
@@ -56,7 +56,8 @@
 
     def __init__(self, link: Link) -> None:
         self.link = link
-        self.open_set_ups: dict[int, sip.Message] = {}  # unanswered set-ups
+        # Unanswered set-ups, with the headers that the response copies, encoded.
+        self.open_set_ups: dict[int, bytes] = {}
         self.peer_ended = False  # the peer has closed its sending side; it may still read
         self.reader = sip.Reader()
         self.last_received_at = 0.0  # Unix milliseconds
@@ -193,15 +194,8 @@
                         caller in active or caller.peer_ended,
                         incomplete_since.get(caller, 0.0),
                         [
-                            (
-                                call,
-                                {
-                                    name: message.headers[name]
-                                    for name in sip.COPIED_HEADERS
-                                    if name in message.headers
-                                },
-                            )
-                            for call, message in open_set_ups.items()
+                            (call, sip.parse_copied_headers(copied_headers))
+                            for call, copied_headers in open_set_ups.items()
                         ],
                         standing_by_connection.get(caller, []),
                     ),
@@ -217,7 +211,7 @@
             if not handed_over.half:
                 self.silent_connections[caller] = None
         for call, headers in handed_over.open:
-            caller.open_set_ups[call] = sip.Message(headers=headers)
+            caller.open_set_ups[call] = sip.copy_headers(sip.Message(headers=headers))
         for call in [*caller.open_set_ups, *handed_over.standing]:
             self.connection_by_call[call] = caller
             caller.call_count += 1
@@ -231,26 +225,13 @@
 
     def _read_messages(self, caller: CallerConnection) -> Coroutine:
         link = caller.link
-        reader = caller.reader
-        while data := (yield from link.receive()):
-            caller.last_received_at = self.loop.now
-            self.silent_connections.pop(caller, None)
-            try:
-                for message in reader.feed(data):
-                    self.incomplete.stop_timeout(caller)
-                    self._handle_message(caller, message)
-                    if caller.consecutive_faults >= MAX_CONSECUTIVE_FAULTS:
-                        self.counters["connections_faulty"] += 1
-                        raise ProtocolError("too many consecutive malformed requests")
-            except ProtocolError as error:
-                self.counters["protocol_errors"] += 1
-                self.log("protocol_error", wire="sip", why=str(error))
-                break
-            if reader.has_partial_message and caller not in self.ending:
-                self.incomplete.start_timeout(caller)
-            self._close_if_unneeded(caller)
-        else:
+        try:
+            while (yield from self._receive(caller)):
+                self._close_if_unneeded(caller)
             caller.peer_ended = not link.closed
+        except ProtocolError as error:
+            self.counters["protocol_errors"] += 1
+            self.log("protocol_error", wire="sip", why=str(error))
         self._unregister(caller)
         self._repeat_releases(caller)
         self.ending.remove(caller)
@@ -265,6 +246,27 @@
             self.core.give_up(call)
         link.close()
 
+    def _receive(self, caller: CallerConnection) -> Generator[Signal, None, bool]:
+        """Waits for bytes and handles the messages that they complete; returns False at the end.
+
+        Raises ProtocolError if what follows cannot be framed.  Nothing of a message is referenced from here
+        while the next one is awaited.
+        """
+        data = yield from caller.link.receive()
+        if not data:
+            return False
+        caller.last_received_at = self.loop.now
+        self.silent_connections.pop(caller, None)
+        for message in caller.reader.feed(data):
+            self.incomplete.stop_timeout(caller)
+            self._handle_message(caller, message)
+            if caller.consecutive_faults >= MAX_CONSECUTIVE_FAULTS:
+                self.counters["connections_faulty"] += 1
+                raise ProtocolError("too many consecutive malformed requests")
+        if caller.reader.has_partial_message and caller not in self.ending:
+            self.incomplete.start_timeout(caller)
+        return True
+
     def free_descriptor(self) -> bool:
         """Closes the connection that is needed least; returns False if none can be spared.
 
@@ -383,7 +385,7 @@
             self.counters[f"rejected.{offer.class_name}"] += 1
             caller.link.send(sip.encode_response(message, 503))
             return
-        caller.open_set_ups[offer.call] = message
+        caller.open_set_ups[offer.call] = sip.copy_headers(message)
         self.connection_by_call[offer.call] = caller
         caller.call_count += 1
         if not self.core.offer(offer, self):
@@ -424,10 +426,10 @@
         self, call: int, status: int, body: bytes = b"", back_off_ms: float = 0.0
     ) -> bool:
         caller = self.connection_by_call.get(call)
-        request = caller.open_set_ups.pop(call, None) if caller is not None else None
-        if caller is None or request is None:
+        copied_headers = caller.open_set_ups.pop(call, None) if caller is not None else None
+        if caller is None or copied_headers is None:
             return False
-        sent = caller.link.send(sip.encode_response(request, status, body, back_off_ms))
+        sent = caller.link.send(sip.encode_response_to(copied_headers, status, body, back_off_ms))
         if status != 200:
             self._remove_call(call)
         self._close_if_unneeded(caller)
--- a/ospreyvale/protocol/sip.py
+++ b/ospreyvale/protocol/sip.py
@@ -49,6 +49,9 @@
     "p-customer": "P-Customer",
 }
 COMPACT_NAMES = {"v": "via", "f": "from", "t": "to", "i": "call-id", "l": "content-length"}
+_KEPT_NAMES = {**{name: name for name in HEADER_NAMES}, **COMPACT_NAMES}
+_FOLD = re.compile(r"\r\n[ \t]+")  # RFC 3261, 7.3.1: a line that begins so continues the one before
+_HEAD_END = b"\r\n\r\n"
 _DIGITS = re.compile(r"[0-9]{1,9}\Z")
 _HEX = re.compile(r"[0-9a-f]{16}\Z", re.IGNORECASE)
 _CAUSE = re.compile(r"cause\s*=\s*([0-9]{1,3})")
@@ -138,7 +141,10 @@
     """Splits a byte stream into messages, however the stream is segmented."""
 
     def __init__(self) -> None:
-        self._buffer = bytearray()
+        self._buffer = bytearray()  # the incomplete message, with its head
+        self._searched = 0  # first bytes of the buffer in which no head ends
+        self._total = 0  # size of the message, once its head is complete
+        self._head_size = 0  # the same for its head
 
     @property
     def has_partial_message(self) -> bool:
@@ -160,55 +166,70 @@
             yield message
 
     def _next_message(self) -> Message | None:
+        message = self._read_head() if not self._total else None
+        if not self._total or len(self._buffer) < self._total:
+            return None
+        # Parsed again where the body came later: a head may take many times its bytes while it is kept.
+        message = message or _parse_head(self._head_bytes())
+        message.body = bytes(self._buffer[self._head_size : self._total])
+        del self._buffer[: self._total]
+        self._total = self._searched = 0
+        return message
+
+    def _head_bytes(self) -> bytes:
+        return bytes(self._buffer[: self._head_size - len(_HEAD_END)])
+
+    def _read_head(self) -> Message | None:
+        """Parses the head at the start of the buffer, if it is complete, and notes the sizes."""
         while self._buffer[:2] == b"\r\n":  # RFC 3261, 7.5: empty lines before a message are ignored
             del self._buffer[:2]
-        end = self._buffer.find(b"\r\n\r\n", 0, MAX_MESSAGE_BYTES + 4)
+        overlap = len(_HEAD_END) - 1
+        end = self._buffer.find(_HEAD_END, max(0, self._searched - overlap), MAX_MESSAGE_BYTES + overlap + 1)
         if end < 0:
             if len(self._buffer) > MAX_MESSAGE_BYTES:
                 raise ProtocolError("a message is larger than 16 KiB")
+            self._searched = len(self._buffer)
             return None
-        message = _parse_head(bytes(self._buffer[:end]))
+        self._head_size = end + len(_HEAD_END)
+        message = _parse_head(self._head_bytes())
         length = message.number("content-length")
         if len(set(message.headers["content-length"])) > 1:
             raise ProtocolError("Content-Length has several different values")
-        total = end + 4 + length
-        if total > MAX_MESSAGE_BYTES:
+        self._total = self._head_size + length
+        if self._total > MAX_MESSAGE_BYTES:
             raise ProtocolError("a message is larger than 16 KiB")
-        if len(self._buffer) < total:
-            return None
-        message.body = bytes(self._buffer[end + 4 : total])
-        del self._buffer[:total]
         return message
 
 
 def _parse_head(head: bytes) -> Message:
+    """Parses the lines before the body; headers that are not in HEADER_NAMES are not kept."""
     try:
-        start_line, *lines = head.decode("utf-8").split("\r\n")
+        start_line, found, lines = head.decode("utf-8").partition("\r\n")
     except UnicodeDecodeError:
         raise ProtocolError("a header is not UTF-8") from None
+    message = _parse_start_line(start_line)
+    for line in _FOLD.sub(" ", lines).split("\r\n") if found else ():
+        name, colon, value = line.partition(":")
+        name = name.strip().lower()
+        if not colon or not name:
+            raise ProtocolError("a header line has no name")
+        kept_name = _KEPT_NAMES.get(name)
+        if kept_name is not None:
+            message.headers.setdefault(kept_name, []).append(value.strip())
+    return message
+
+
+def _parse_start_line(start_line: str) -> Message:
     words = start_line.split(" ", 2)
     if len(words) < 2:
         raise ProtocolError("the first line is neither a request nor a status line")
     if words[0] == VERSION:
         if not (len(words[1]) == 3 and _DIGITS.match(words[1]) and words[1][0] in "123456"):
             raise ProtocolError("the status code is not between 100 and 699")
-        message = Message(status=int(words[1]))
-    elif len(words) == 3 and words[2] == VERSION and words[0].isalpha():
-        message = Message(method=words[0].upper(), uri=words[1])
-    else:
-        raise ProtocolError("the first line is neither a request nor a status line")
-    last_values: list[str] | None = None
-    for line in lines:
-        if line[:1] in (" ", "\t") and last_values:  # a folded line continues the previous one
-            last_values[-1] += " " + line.strip()
-            continue
-        name, colon, value = line.partition(":")
-        name = name.strip().lower()
-        if not colon or not name:
-            raise ProtocolError("a header line has no name")
-        last_values = message.headers.setdefault(COMPACT_NAMES.get(name, name), [])
-        last_values.append(value.strip())
-    return message
+        return Message(status=int(words[1]))
+    if len(words) == 3 and words[2] == VERSION and words[0].isalpha():
+        return Message(method=words[0].upper(), uri=words[1])
+    raise ProtocolError("the first line is neither a request nor a status line")
 
 
 def _encode(start_line: str, headers: list[tuple[str, str]], body: bytes) -> bytes:
@@ -227,15 +248,39 @@
     return _encode(start_line, headers, body)
 
 
+def copy_headers(request: Message) -> bytes:
+    """Returns the header lines that a response copies from its request, encoded."""
+    return b"".join(
+        f"{HEADER_NAMES[name]}: {value}\r\n".encode()
+        for name in COPIED_HEADERS
+        for value in request.headers.get(name, [])
+    )
+
+
+def parse_copied_headers(lines: bytes) -> dict[str, list[str]]:
+    """Returns the headers in the lines of `copy_headers`, by lower-case name."""
+    return _parse_head(f"{VERSION} 200 OK\r\n".encode() + lines.removesuffix(b"\r\n")).headers
+
+
 def encode_response(request: Message, status: int, body: bytes = b"", back_off_ms: float = 0.0) -> bytes:
     """Encodes the response to a request.
 
     `back_off_ms` above 0 is rounded to whole milliseconds, at least 1.
     """
-    headers = [(name, value) for name in COPIED_HEADERS for value in request.headers.get(name, [])]
-    if back_off_ms > 0.0:
-        headers.append(("p-back-off", str(max(1, round(back_off_ms)))))
-    return _encode(f"{VERSION} {status} {REASON_PHRASES[status]}", headers, body)
+    return encode_response_to(copy_headers(request), status, body, back_off_ms)
+
+
+def encode_response_to(
+    copied_headers: bytes, status: int, body: bytes = b"", back_off_ms: float = 0.0
+) -> bytes:
+    """Encodes the response to the request of which `copy_headers` has returned the lines."""
+    back_off = f"P-Back-Off: {max(1, round(back_off_ms))}\r\n" if back_off_ms > 0.0 else ""
+    return (
+        f"{VERSION} {status} {REASON_PHRASES[status]}\r\n".encode()
+        + copied_headers
+        + f"{back_off}Content-Length: {len(body)}\r\n\r\n".encode()
+        + body
+    )
 
 
 def encode_bye(call: int, cause: int, via: str) -> bytes:
--- a/ospreyvale/routing/stages/relay.py
+++ b/ospreyvale/routing/stages/relay.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ospreyvale.routing import interface
 from ospreyvale.routing.call_table import IN_DOUBT
@@ -28,6 +28,8 @@
         return
     if attempt.timer is not None:
         attempt.timer.cancel()
+    # No attempt follows that would need it, and a call may stand for long.
+    state.offer = replace(state.offer, description=b"")
     context.counters["answers_stands"] += 1
     context.counters[f"completed.{state.offer.class_name}"] += 1
     state.caller.answer(state.call, description)
--- a/ospreyvale/transport/network.py
+++ b/ospreyvale/transport/network.py
@@ -14,6 +14,9 @@
 Address = tuple[str, int]
 RECEIVE_BYTES = 16_384  # at most, from one connection in one turn
 MAX_QUEUED_BYTES = 262_144  # unsent bytes for a slow reader before its connection is reset
+# Unsent bytes of all connections; beyond it, one is reset that has more than MAX_QUEUED_BYTES_IF_FULL.
+MAX_TOTAL_QUEUED_BYTES = 16_777_216
+MAX_QUEUED_BYTES_IF_FULL = 32_768
 MAX_ACCEPTS_PER_TURN = 64  # so that a burst of new connections does not delay the calls in progress
 CLOSE_TIMEOUT_MS = 2_000.0  # for the peer to read what is queued when its connection is closed
 ACCEPT_RETRY_MS = 20.0  # before accepting again after the process ran out of descriptors
@@ -64,6 +67,19 @@
         ...
 
 
+class WriteQueueTotal:
+    """How many unsent bytes the connections of one network hold together."""
+
+    def __init__(self) -> None:
+        self.queued_bytes = 0
+
+    @property
+    def connection_limit(self) -> int:
+        """The most that one connection may hold now, in bytes."""
+        is_full = self.queued_bytes > MAX_TOTAL_QUEUED_BYTES
+        return MAX_QUEUED_BYTES_IF_FULL if is_full else MAX_QUEUED_BYTES
+
+
 class Connection:
     """A TCP connection with a bounded write queue.
 
@@ -76,11 +92,13 @@
         sock: socket.socket,
         high_priority: bool = False,
         on_closed: Callable[[], None] = lambda: None,
+        write_queue_total: WriteQueueTotal | None = None,
     ) -> None:
         self.loop = loop
         self.sock = sock
         self.high_priority = high_priority
         self.on_closed = on_closed
+        self._write_queue_total = write_queue_total if write_queue_total is not None else WriteQueueTotal()
         self.closed = self.was_reset = False
         self._peer_ended = self._write_ended = self._closing = False
         self._write_queue = bytearray()
@@ -126,9 +144,10 @@
         if self.closed or self._closing or self._write_ended:
             return False
         self._write_queue += data
+        self._write_queue_total.queued_bytes += len(data)
         if len(self._write_queue) == len(data):
             self._flush()
-        if len(self._write_queue) > MAX_QUEUED_BYTES:
+        if len(self._write_queue) > self._write_queue_total.connection_limit:
             self._reset()
         return not self.closed
 
@@ -164,12 +183,14 @@
         self.closed = True
         self.loop.unwatch(self.sock.fileno())
         self.loop.fire(self._readable)
-        return self.sock.detach(), bytes(self._write_queue)
+        unsent = bytes(self._write_queue)
+        self._remove_queued(len(unsent))
+        return self.sock.detach(), unsent
 
     def _flush(self) -> None:
         try:
             while self._write_queue:
-                del self._write_queue[: self.sock.send(self._write_queue)]
+                self._remove_queued(self.sock.send(self._write_queue))
         except (BlockingIOError, InterruptedError):
             pass
         except OSError:  # EPIPE or ECONNRESET: the peer has closed
@@ -182,6 +203,10 @@
             self._shut_down_writing()
         self._watch()
 
+    def _remove_queued(self, size: int) -> None:
+        del self._write_queue[:size]
+        self._write_queue_total.queued_bytes -= size
+
     def _shut_down_writing(self) -> None:
         try:
             self.sock.shutdown(socket.SHUT_WR)
@@ -203,12 +228,12 @@
 
     def _reset(self) -> None:
         self.was_reset = True
-        self._write_queue.clear()
         self._close_socket()
 
     def _close_socket(self) -> None:
         if not self.closed:
             self.closed = True
+            self._remove_queued(len(self._write_queue))
             self.loop.unwatch(self.sock.fileno())
             self.sock.close()
             self.on_closed()
@@ -250,9 +275,11 @@
         serve: Callable[[Link], Coroutine],
         free_descriptor: Callable[[], bool],
         high_priority: bool,
+        write_queue_total: WriteQueueTotal,
     ) -> None:
         self.loop = loop
         self.sock = sock
+        self.write_queue_total = write_queue_total
         self.serve = serve
         self.free_descriptor = free_descriptor
         self.high_priority = high_priority
@@ -300,7 +327,10 @@
                     self.loop.call_at(self.loop.now + ACCEPT_RETRY_MS, self._watch)
                     return
                 continue
-            self.loop.start(_serve_guarded(self.serve, Connection(self.loop, accepted, self.high_priority)))
+            connection = Connection(
+                self.loop, accepted, self.high_priority, write_queue_total=self.write_queue_total
+            )
+            self.loop.start(_serve_guarded(self.serve, connection))
 
 
 def _serve_guarded(serve: Callable[[Link], Coroutine], link: Link) -> Coroutine:
@@ -370,6 +400,7 @@
 
     def __init__(self, loop: Loop) -> None:
         self.loop = loop
+        self.write_queue_total = WriteQueueTotal()
         self.outgoing_connections = 0  # open, or being set up
         self.max_outgoing_connections = math.inf  # limit for connections without high priority
         # Closes an outgoing connection that can be spared; returns False if there is none.
@@ -393,7 +424,7 @@
             if fd is None
             else socket.socket(fileno=fd)
         )
-        return Listener(self.loop, sock, serve, free_descriptor, high_priority)
+        return Listener(self.loop, sock, serve, free_descriptor, high_priority, self.write_queue_total)
 
     def open_datagram_socket(
         self, address: Address, on_datagram: Callable[[Address, bytes], None], fd: int | None = None
@@ -406,7 +437,8 @@
 
     def adopt_connection(self, fd: int, serve: Callable[[Link], Coroutine]) -> None:
         """Starts `serve` on a connection from another process."""
-        self.loop.start(_serve_guarded(serve, Connection(self.loop, socket.socket(fileno=fd))))
+        connection = Connection(self.loop, socket.socket(fileno=fd), write_queue_total=self.write_queue_total)
+        self.loop.start(_serve_guarded(serve, connection))
 
     def dial(
         self, address: Address, timeout_ms: float, high_priority: bool = False
@@ -444,7 +476,7 @@
             sock.close()
             self._on_outgoing_closed()
             return None
-        return Connection(self.loop, sock, high_priority, self._on_outgoing_closed)
+        return Connection(self.loop, sock, high_priority, self._on_outgoing_closed, self.write_queue_total)
 
     def _on_outgoing_closed(self) -> None:
         self.outgoing_connections -= 1
