A caller's connection gives way to others after 32 requests

Cause: all requests of one read, up to 230, were handled before any other connection. Change: Loop.yield_turn, called after 32 messages of a connection; a handover passes requests on that were read and not handled.

--- a/ospreyvale/fronts/sip.py
+++ b/ospreyvale/fronts/sip.py
@@ -35,6 +35,7 @@
 REPEAT_RELEASE_MS = 8_000.0
 # One that was sent so shortly before the caller ended its connection may have crossed that end.
 CROSSING_RELEASE_MS = 1_000.0
+MAX_MESSAGES_PER_TURN = 32  # from one connection, so that others wait some milliseconds at most
 MAX_CONSECUTIVE_FAULTS = 32  # a connection with so many consecutive malformed requests is closed
 
 
@@ -43,7 +44,7 @@
     """One connection from callers, with the fields of its handover frame; bytes are Latin-1 text."""
 
     unsent: str  # bytes queued for the peer and not written yet
-    half: str  # the received part of an incomplete message
+    half: str  # bytes that were received and not handled: requests, and part of one
     asked: bool  # whether it has carried a set-up
     since: float  # Unix milliseconds since which it is silent or inside a message; 0 if it is neither
     # Unanswered set-ups: the call, and the headers of the INVITE that responses copy.
@@ -59,6 +60,7 @@
         # Unanswered set-ups, with the headers that the response copies, encoded.
         self.open_set_ups: dict[int, bytes] = {}
         self.peer_ended = False  # the peer has closed its sending side; it may still read
+        self.handed_over = False  # another process serves it, from the bytes in the reader on
         self.reader = sip.Reader()
         self.last_received_at = 0.0  # Unix milliseconds
         self.call_count = 0  # calls received on it and not ended: unanswered or standing
@@ -183,6 +185,7 @@
         for caller in callers:
             open_set_ups = caller.open_set_ups
             caller.open_set_ups = {}
+            caller.handed_over = True
             detached = caller.link.detach()
             if detached is not None:
                 fd, unsent = detached
@@ -217,15 +220,15 @@
             caller.call_count += 1
         if handed_over.unsent:
             link.send(text_to_bytes(handed_over.unsent))
-        for _ in caller.reader.feed(text_to_bytes(handed_over.half)):
-            pass  # it contains no complete message
         if handed_over.asked:
             self._send_releases(caller)
-        yield from self._read_messages(caller)
+        yield from self._read_messages(caller, text_to_bytes(handed_over.half))
 
-    def _read_messages(self, caller: CallerConnection) -> Coroutine:
+    def _read_messages(self, caller: CallerConnection, unhandled: bytes = b"") -> Coroutine:
+        """Handles the messages in `unhandled` and all that follow, until the connection ends."""
         link = caller.link
         try:
+            yield from self._handle_bytes(caller, unhandled)
             while (yield from self._receive(caller)):
                 self._close_if_unneeded(caller)
             caller.peer_ended = not link.closed
@@ -257,15 +260,23 @@
             return False
         caller.last_received_at = self.loop.now
         self.silent_connections.pop(caller, None)
-        for message in caller.reader.feed(data):
+        yield from self._handle_bytes(caller, data)
+        return True
+
+    def _handle_bytes(self, caller: CallerConnection, data: bytes) -> Coroutine:
+        """Handles the messages that the bytes complete, and lets other connections go first now and then."""
+        for number, message in enumerate(caller.reader.feed(data), 1):
             self.incomplete.stop_timeout(caller)
             self._handle_message(caller, message)
             if caller.consecutive_faults >= MAX_CONSECUTIVE_FAULTS:
                 self.counters["connections_faulty"] += 1
                 raise ProtocolError("too many consecutive malformed requests")
+            if number % MAX_MESSAGES_PER_TURN == 0:
+                yield from self.loop.yield_turn()
+            if caller.handed_over:
+                return
         if caller.reader.has_partial_message and caller not in self.ending:
             self.incomplete.start_timeout(caller)
-        return True
 
     def free_descriptor(self) -> bool:
         """Closes the connection that is needed least; returns False if none can be spared.
--- a/ospreyvale/transport/loop.py
+++ b/ospreyvale/transport/loop.py
@@ -86,6 +86,7 @@
         self._timers: list[tuple[float, int, Timer]] = []
         self._timer_sequence = itertools.count()  # orders timers that are due at the same time
         self._ready: deque[Coroutine] = deque()
+        self._yielded: list[Signal] = []  # fired in the next turn, once its descriptors are handled
         # Event mask, callback, and whether it has high priority, by descriptor.
         self._watchers: dict[int, tuple[int, Callable[[int], None], bool]] = {}
 
@@ -123,6 +124,12 @@
         yield signal
         timer.cancel()
 
+    def yield_turn(self) -> Coroutine:
+        """Gives way to all other work that is ready, and goes on in the next turn."""
+        signal = Signal()
+        self._yielded.append(signal)
+        yield signal
+
     # ---- descriptors ----
 
     def watch(self, fd: int, mask: int, callback: Callable[[int], None], high_priority: bool = False) -> None:
@@ -149,6 +156,8 @@
         receive buffer.
         """
         events = self.poller.poll(self._poll_timeout_ms() / 1000.0)
+        yielded = self._yielded
+        self._yielded = []
         started_at = self.read_clock()
         # `now` never goes backwards, even if the system's clock is set back.
         self.now = max(self.now, started_at)
@@ -157,6 +166,8 @@
             if watcher is not None:
                 self._run_guarded(lambda callback=watcher[1], mask=mask: callback(mask))  # type: ignore[misc]
                 self._resume_ready()  # finishes a high-priority event before the next descriptor is read
+        for signal in yielded:
+            self.fire(signal)
         self._resume_ready()
         while self._timers and self._timers[0][0] <= self.now:
             timer = heapq.heappop(self._timers)[2]
@@ -176,7 +187,7 @@
         return watcher is None or not watcher[2]
 
     def _poll_timeout_ms(self) -> float:
-        if self._ready:
+        if self._ready or self._yielded:
             return 0.0
         while self._timers and self._timers[0][2].callback is None:
             heapq.heappop(self._timers)
--- /dev/null
+++ b/tests/test_caller_connections.py
@@ -0,0 +1,58 @@
+"""Connections from callers: requests at full speed, and callers that leave with requests unread."""
+
+from __future__ import annotations
+
+from ospreyvale.fronts.sip import MAX_MESSAGES_PER_TURN, HandedOverConnection
+from ospreyvale.program.app import App
+from ospreyvale.protocol.handover import bytes_to_text
+from tests.player import MemoryLink, Player, frame_isup, frame_sip
+
+FLOOD = 1_000
+
+
+def started() -> tuple[Player, App, MemoryLink]:
+    """Returns a running program, with the connection to exchange 1."""
+    player = Player()
+    player.network.name_by_address["127.1.0.1", 5070] = "one"
+    app = player.start()
+    player.advance(5.0)
+    one = player.network.links["one"]
+    one.inbox += frame_isup(43, 0, p198=b"x0:400;x1:400")
+    player.loop.fire(one.readable)
+    player.advance(5.0)
+    return player, app, one
+
+
+def request(method: str, call: int) -> bytes:
+    """Returns a SIP request about a call."""
+    head = f"{method} sip:00000000000000aa@net SIP/2.0\nCall-ID: {call:016x}\nCSeq: 1 {method}\n"
+    return frame_sip(head.encode() + b"Priority-Class: stock-check\nP-Trunk-Info: dest:1", b"d")
+
+
+def test_a_caller_at_full_speed_leaves_turns_to_others() -> None:
+    """Guards against answers that are late because one connection sent small requests without a pause."""
+    player, _, _ = started()
+    player.step("connect flood 127.0.0.1:5070")
+    flood = player.network.links["flood"]
+    flood.inbox += b"".join(request("OPTIONS", call) for call in range(FLOOD))
+    player.loop.fire(flood.readable)
+    player.loop.turn()
+    assert bytes(flood.sent).count(b"SIP/2.0 200 OK") == MAX_MESSAGES_PER_TURN
+    for _ in range(FLOOD // MAX_MESSAGES_PER_TURN):
+        player.loop.turn()
+    assert bytes(flood.sent).count(b"SIP/2.0 200 OK") == FLOOD
+
+
+def test_requests_that_wait_for_their_turn_are_served_after_a_handover() -> None:
+    """Guards against requests that are lost because the former process had read and not handled them."""
+    player, app, _ = started()
+    data = b"".join(request("INVITE", call) for call in (0xB1, 0xB2)) + request("INVITE", 0xB3)[:30]
+    link = MemoryLink(player.loop)
+    handed_over = HandedOverConnection("", bytes_to_text(data), True, 0.0, [], [])
+    player.loop.spawn(app.sip.serve_handed_over(link, handed_over))
+    player.advance(5.0)
+    assert app.metrics()["unanswered"] == 2
+    link.inbox += request("INVITE", 0xB3)[30:]
+    player.loop.fire(link.readable)
+    player.advance(5.0)
+    assert app.metrics()["unanswered"] == 3
