Requests of a caller that has left are not sent on

Cause: the system delivers what was received before a reset or an end first, so that both were noticed last; set-ups open at the end of the caller's side were kept until an answer could not be written. Change: resets are noticed before a set-up is accepted; where the caller has ended its side or more is waiting, a provisional response tells a closed socket, which answers with a reset, from one that still reads. M3UA: an IAM behind the end of its association is not sent on. The stand-ins pass over provisional responses, as the protocol has it. Tests: test_requests_of_a_caller_that_has_left_are_not_sent_on (reset and closed failed before), half-close.

--- a/lab/faults/path.py
+++ b/lab/faults/path.py
@@ -5,7 +5,7 @@
 import socket
 from collections.abc import Generator
 
-from ospreyvale.transport.loop import Loop, Signal
+from ospreyvale.transport.loop import Coroutine, Loop, Signal
 from ospreyvale.transport.network import Connection
 
 
@@ -40,6 +40,20 @@
         """Whether the connection ended with an error."""
         return self.connection.was_reset
 
+    @property
+    def peer_ending(self) -> bool:
+        """Whether the program has ended its side."""
+        return self.connection.peer_ending
+
+    @property
+    def peer_gone(self) -> bool:
+        """Whether the program has reset the connection."""
+        return self.connection.peer_gone
+
+    def wait_closed(self) -> Coroutine:
+        """Waits until the connection is closed."""
+        return self.connection.wait_closed()
+
     def receive(self) -> Generator[Signal, None, bytes]:
         """Waits for bytes; returns b"" at the end of the stream, both after the delay."""
         data = yield from self.connection.receive()
--- a/ospreyvale/fronts/m3ua.py
+++ b/ospreyvale/fronts/m3ua.py
@@ -165,6 +165,9 @@
             # REL would end the call that uses the circuit, so the second IAM is ignored.
             self.counters["m3ua_duplicate_cic"] += 1
             return
+        if association.link.peer_ending:  # its end is about to be read, and gives up all set-ups
+            self.counters["offers_abandoned"] += 1
+            return
         if self.drain.refusing:
             self._send(key, IsupMessage(message.cic, IsupType.REL, cause=Cause.CONGESTION), association)
             return
--- a/ospreyvale/fronts/sip.py
+++ b/ospreyvale/fronts/sip.py
@@ -18,7 +18,7 @@
 from ospreyvale.routing.context import Log
 from ospreyvale.routing.core import Core
 from ospreyvale.transport.loop import Coroutine, Loop, Signal
-from ospreyvale.transport.network import Link
+from ospreyvale.transport.network import RECEIVE_BYTES, Link
 
 # Q.850 causes of the BYE for a call that has ended; 31 (normal, unspecified) for other outcomes.
 CAUSE_BY_OUTCOME = {interface.Outcome.OK: 16, interface.Outcome.RESET: 41}
@@ -59,6 +59,9 @@
         self.link = link
         # Unanswered set-ups, with the headers that the response copies, encoded.
         self.open_set_ups: dict[int, bytes] = {}
+        # A provisional response was sent to find out whether the peer still reads.
+        self.was_probed = False
+        self.has_backlog = False  # the last read was full: more of what the peer has sent is unread
         self.peer_ended = False  # the peer has closed its sending side; it may still read
         self.handed_over = False  # another process serves it, from the bytes in the reader on
         self.reader = sip.Reader()
@@ -239,7 +242,9 @@
         self._repeat_releases(caller)
         self.ending.remove(caller)
         if caller.peer_ended and caller.open_set_ups:
-            return  # half-closed: open set-ups are answered first, then `_close_if_unneeded` closes it
+            self._probe(caller, next(iter(caller.open_set_ups.values())))
+            # Half-closed: open set-ups are answered first, then `_close_if_unneeded` closes it.
+            yield from link.wait_closed()
         if caller.open_set_ups:
             self.log(
                 "caller_lost", reset=link.was_reset, calls=[f"{call:016x}" for call in caller.open_set_ups]
@@ -259,6 +264,8 @@
         if not data:
             return False
         caller.last_received_at = self.loop.now
+        caller.has_backlog = len(data) >= RECEIVE_BYTES
+        caller.was_probed = caller.was_probed and not caller.has_backlog
         self.silent_connections.pop(caller, None)
         yield from self._handle_bytes(caller, data)
         return True
@@ -377,6 +384,9 @@
             self.counters["offers_crossed"] += 1
             caller.link.close()
             return
+        if self._has_left(caller, message):
+            self.counters["offers_abandoned"] += 1
+            return
         offer = parse_offer(message, self.offer_limits)
         if offer is None:
             self.counters["offers_malformed"] += 1
@@ -402,6 +412,22 @@
         if not self.core.offer(offer, self):
             self._remove_set_up(offer.call)
 
+    def _has_left(self, caller: CallerConnection, message: sip.Message) -> bool:
+        """Returns whether nobody waits for the answer to a request that was read only now."""
+        if caller.link.peer_ending or caller.has_backlog:
+            self._probe(caller, sip.copy_headers(message))
+        return caller.link.closed or caller.link.peer_gone
+
+    def _probe(self, caller: CallerConnection, copied_headers: bytes) -> None:
+        """Finds out whether a peer still reads that has ended its sending side, or may have done so.
+
+        A provisional response means nothing to one that does; one that has closed its socket resets the
+        connection.  Behind a backlog, the end of its side may not have arrived yet.
+        """
+        if not caller.was_probed:
+            caller.was_probed = True
+            caller.link.send(sip.encode_response_to(copied_headers, 100))
+
     # ---- answers of the core (CallerPort) ----
 
     def answer(self, call: int, description: bytes) -> None:
--- a/ospreyvale/transport/loop.py
+++ b/ospreyvale/transport/loop.py
@@ -18,6 +18,7 @@
 
 READ = select.EPOLLIN
 WRITE = select.EPOLLOUT
+PEER_ENDED = select.EPOLLRDHUP  # the peer has ended its sending side; data before that may be unread
 MAX_POLL_MS = 1_000.0  # longest wait for events, also while no timer is due
 
 
--- a/ospreyvale/transport/network.py
+++ b/ospreyvale/transport/network.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Generator
 from typing import Protocol
 
-from ospreyvale.transport.loop import READ, WRITE, Coroutine, Loop, Signal
+from ospreyvale.transport.loop import PEER_ENDED, READ, WRITE, Coroutine, Loop, Signal
 
 Address = tuple[str, int]
 RECEIVE_BYTES = 16_384  # at most, from one connection in one turn
@@ -46,10 +46,24 @@
         """Whether the connection ended with an error, or because the peer read too slowly."""
         ...
 
+    @property
+    def peer_ending(self) -> bool:
+        """Whether the peer has ended its side; what it sent before may still be unread."""
+        ...
+
+    @property
+    def peer_gone(self) -> bool:
+        """Whether the peer has reset the connection; what it sent before may still be unread."""
+        ...
+
     def receive(self) -> Generator[Signal, None, bytes]:
         """Waits for bytes and returns them; returns b"" at the end of the stream."""
         ...
 
+    def wait_closed(self) -> Coroutine:
+        """Waits until the connection is closed or detached, after `receive` has returned b""."""
+        ...
+
     def send(self, data: bytes) -> bool:
         """Writes or queues the bytes; returns False if that is not possible."""
         ...
@@ -99,19 +113,34 @@
         self.high_priority = high_priority
         self.on_closed = on_closed
         self._write_queue_total = write_queue_total if write_queue_total is not None else WriteQueueTotal()
-        self.closed = self.was_reset = False
-        self._peer_ended = self._write_ended = self._closing = False
+        self.closed = self.was_reset = self.peer_ending = False
+        self._peer_gone = self._peer_ended = self._write_ended = self._closing = False
         self._write_queue = bytearray()
         self._readable = Signal()
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        loop.watch(sock.fileno(), READ, self._on_event, high_priority)
+        loop.watch(sock.fileno(), READ | PEER_ENDED, self._on_event, high_priority)
 
     @property
     def write_blocked(self) -> bool:
         """Whether bytes are queued because the peer does not read them."""
         return bool(self._write_queue)
 
+    @property
+    def peer_gone(self) -> bool:
+        """Whether the peer has reset the connection; what it sent before may still be unread.
+
+        Asks the system, as the event of the reset comes in the next turn only.
+        """
+        if not self._peer_gone and not self.closed:
+            self._peer_gone = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+        return self._peer_gone
+
+    def wait_closed(self) -> Coroutine:
+        """Waits until the connection is closed or detached, after `receive` has returned b""."""
+        while not self.closed:
+            yield self._readable
+
     def receive(self) -> Generator[Signal, None, bytes]:
         """Waits for bytes and returns them.
 
@@ -132,6 +161,9 @@
                 break
             if data:
                 return data
+            if self._peer_gone:  # asking for the error has cleared it
+                self._reset()
+                break
             self._peer_ended = True
             self._watch()  # half-closed: answers can still be sent
         return b""
@@ -216,9 +248,13 @@
     def _watch(self) -> None:
         if not self.closed:
             mask = (0 if self._peer_ended else READ) | (WRITE if self._write_queue else 0)
+            mask |= 0 if self.peer_ending else PEER_ENDED  # reported in each turn otherwise
             self.loop.watch(self.sock.fileno(), mask, self._on_event, self.high_priority)
 
     def _on_event(self, mask: int) -> None:
+        if mask & PEER_ENDED and not self.peer_ending:
+            self.peer_ending = True
+            self._watch()
         if mask & WRITE:
             self._flush()
         if mask & (select.EPOLLERR | select.EPOLLHUP) and self._peer_ended:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
+import socket
+import struct
+from pathlib import Path
+
+import pytest
+
 from ospreyvale.fronts.sip import MAX_MESSAGES_PER_TURN, HandedOverConnection
 from ospreyvale.program.app import App
 from ospreyvale.protocol.handover import bytes_to_text
+from tests.fake_peers import run_until
 from tests.player import MemoryLink, Player, frame_isup, frame_sip
+from tests.test_handover import HandoverScenario
 
+IAM, ANM, REL = 1, 9, 12
 FLOOD = 1_000
+UNREAD_REQUESTS = 30  # fewer than the circuits of the exchange
 
 
 def started() -> tuple[Player, App, MemoryLink]:
@@ -29,6 +39,13 @@
     return frame_sip(head.encode() + b"Priority-Class: stock-check\nP-Trunk-Info: dest:1", b"d")
 
 
+def receive(player: Player, link: MemoryLink, data: bytes) -> None:
+    """Lets a peer send bytes to the program."""
+    link.inbox += data
+    player.loop.fire(link.readable)
+    player.advance(2.0)
+
+
 def test_a_caller_at_full_speed_leaves_turns_to_others() -> None:
     """Guards against answers that are late because one connection sent small requests without a pause."""
     player, _, _ = started()
@@ -56,3 +73,22 @@
     player.loop.fire(link.readable)
     player.advance(5.0)
     assert app.metrics()["unanswered"] == 3
+
+
+@pytest.mark.parametrize("ending", ["reset", "closed", "half-closed"])
+def test_requests_of_a_caller_that_has_left_are_not_sent_on(tmp_path: Path, ending: str) -> None:
+    """Guards against calls that are set up for nobody: unread when their caller left."""
+    scenario = HandoverScenario(tmp_path)
+    sock = socket.create_connection(scenario.listen_address)
+    sock.sendall(b"".join(request("INVITE", 0xB000 + number) for number in range(UNREAD_REQUESTS)))
+    if ending == "reset":
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    if ending == "half-closed":
+        sock.shutdown(socket.SHUT_WR)
+    else:
+        sock.close()
+    run_until(scenario.loop, lambda: False, 200.0)
+    sent_on = [call for message_type, call in scenario.exchange_messages() if message_type == IAM]
+    assert len(sent_on) == (UNREAD_REQUESTS if ending == "half-closed" else 0)
+    sock.close()
+    scenario.old._shut_down()
