A call that has run is not set up again when its id comes again, nor at the process after a handover

Cause: the memory of ended calls did not say whether a call had run; a handover passed on ids without times, and nothing of calls that ended at the old process after it. Change: EndedCall with both, passed on by a handover; the new process remembers calls of the old one that end. 482 to an id that has run. Tests: test_an_id_that_has_run_is_not_set_up_again, test_an_id_that_comes_again_at_the_new_process_does_not_run_twice; both failed on the code before.

--- a/ospreyvale/fronts/sip.py
+++ b/ospreyvale/fronts/sip.py
@@ -396,21 +396,24 @@
             self.counters["offers_repeated"] += 1
             self._reject_malformed(caller, message, 482)
             return
-        caller.consecutive_faults = 0
         if caller not in self.active_connections:
             self.idle_connections.pop(caller, None)
             self.active_connections[caller] = None
             self._send_releases(caller)
         self.active_connections.move_to_end(caller)
         if self.drain.refusing:
+            caller.consecutive_faults = 0
             self.counters[f"rejected.{offer.class_name}"] += 1
             caller.link.send(sip.encode_response(message, 503))
             return
         caller.open_set_ups[offer.call] = sip.copy_headers(message)
         self.connection_by_call[offer.call] = caller
         caller.call_count += 1
-        if not self.core.offer(offer, self):
+        if self.core.offer(offer, self):
+            caller.consecutive_faults = 0
+        else:
             self._remove_set_up(offer.call)
+            self._reject_malformed(caller, message, 482)
 
     def _has_left(self, caller: CallerConnection, message: sip.Message) -> bool:
         """Returns whether nobody waits for the answer to a request that was read only now."""
--- a/ospreyvale/operations/handover.py
+++ b/ospreyvale/operations/handover.py
@@ -11,7 +11,7 @@
 
 import os
 from collections.abc import Callable
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, astuple, dataclass
 from typing import TYPE_CHECKING, Any, Protocol
 
 from ospreyvale.exchanges.isup import IsupExchanges
@@ -22,6 +22,7 @@
 from ospreyvale.protocol.errors import ProtocolError
 from ospreyvale.protocol.handover import bytes_to_text, encode, text_to_bytes
 from ospreyvale.routing import interface
+from ospreyvale.routing.call_table import MAX_ENDED_CALLS, EndedCall
 from ospreyvale.routing.context import Log
 from ospreyvale.routing.core import Core
 from ospreyvale.routing.state import CallerPort, CallState, Offer
@@ -131,7 +132,8 @@
         channel.send(
             encode(
                 "learned",
-                over=call_table.ended_calls(),
+                over=[ended.call for ended in call_table.ended_calls()],
+                ended=[astuple(ended) for ended in call_table.ended_calls()],
                 releases=list(parts.sip.pending_releases.items()),
                 unheard=parts.exchanges.pending_releases(),
                 **_encode_learned(learned),
@@ -297,7 +299,7 @@
 
     def give_up(self, call: int) -> None:
         """Reports to the old process that the caller of one of its calls has given up."""
-        if self.source_calls.pop(call, None) is not None:
+        if self._remove_source_call(call, has_run=False):
             self.channel.send(encode("gave_up", call=call))
 
     def hang_up(self, call: int) -> bool:
@@ -307,7 +309,7 @@
         """
         stands = self.source_calls.get(call, False)
         if stands:
-            del self.source_calls[call]
+            self._remove_source_call(call, has_run=True)
             self.channel.send(encode("hung_up", call=call))
         return stands
 
@@ -315,6 +317,24 @@
         """Reports to the old process that a standing call has ended on the exchange's side."""
         self.channel.send(encode("over", call=call, outcome=outcome.value))
 
+    def _remove_source_call(self, call: int, has_run: bool) -> bool:
+        """Removes a call of the old process that has ended; returns False if there is none.
+
+        If it is offered again, it must wait until the old process has released its last attempt.
+        """
+        if self.source_calls.pop(call, None) is None:
+            return False
+        call_table = self.parts.core.context.call_table
+        call_table.add_ended(EndedCall(call, self.parts.loop.now + call_table.release_ms, has_run))
+        return True
+
+    def _import_ended_calls(self, frame: dict[str, Any]) -> None:
+        """Remembers the calls that have ended in the old process."""
+        # Releases before this one send the ids alone.
+        ended_calls = frame.get("ended", [(call, 0.0, False) for call in frame["over"]])
+        for call, earliest_send_at, has_run in ended_calls[-MAX_ENDED_CALLS:]:
+            self.parts.core.context.call_table.add_ended(EndedCall(call, earliest_send_at, has_run))
+
     # ---- frames from the old process ----
 
     def _on_frame(self, frame: dict[str, Any]) -> None:
@@ -331,7 +351,7 @@
                 parts.devices.create_state_importer().import_record(frame["plain"])
             case "learned":
                 core.control.import_learned(_decode_learned(frame))
-                core.context.call_table.add_ended_calls(frame["over"])
+                self._import_ended_calls(frame)
                 parts.sip.pending_releases.update(dict(frame["releases"]))
                 parts.exchanges.import_pending_releases(frame["unheard"])
             case "unheard":
@@ -353,11 +373,11 @@
                 self._complete()
             case "answer":
                 self._on_answer(frame)
-            case "refuse" if self.source_calls.pop(frame["call"], None) is not None:
+            case "refuse" if self._remove_source_call(frame["call"], has_run=False):
                 parts.caller_port(frame["call"]).refuse(frame["call"], frame["back_off_ms"])
-            case "fail" if self.source_calls.pop(frame["call"], None) is not None:
+            case "fail" if self._remove_source_call(frame["call"], has_run=False):
                 parts.caller_port(frame["call"]).fail(frame["call"])
-            case "over" if self.source_calls.pop(frame["call"], None) is not None:
+            case "over" if self._remove_source_call(frame["call"], has_run=True):
                 parts.caller_port(frame["call"]).release(frame["call"], interface.Outcome(frame["outcome"]))
             case "over":
                 core.on_reported_end(frame["call"], interface.Outcome(frame["outcome"]))
@@ -396,14 +416,21 @@
         """Passes an answer of the old process to the caller; adopts the call if it moves here."""
         call = frame["offer"]["call"]
         caller_waits = self.source_calls.pop(call, None) is not None
+        if not caller_waits:  # the caller gave up while the answer was on its way
+            self._release_unwanted(call, frame)
+            return
         if frame["moves"]:
             self._adopt_call(frame)
-        elif caller_waits:
+        else:
             self.source_calls[call] = True
-        if caller_waits:
-            self.parts.caller_port(call).answer(call, text_to_bytes(frame["description"]))
-        else:  # the caller gave up while the answer was on its way
-            self.parts.core.hang_up(call)
+        self.parts.caller_port(call).answer(call, text_to_bytes(frame["description"]))
+
+    def _release_unwanted(self, call: int, frame: dict[str, Any]) -> None:
+        """Releases at its exchange a call that the old process has answered too late for its caller."""
+        if frame["moves"]:
+            self.parts.exchanges.release(call, text_to_bytes(frame["exchange"]))
+        else:
+            self.channel.send(encode("hung_up", call=call))
 
     def _complete(self) -> None:
         """Ends the takeover: this process serves callers and devices from now on."""
@@ -436,6 +463,9 @@
         lost_calls = self.source_calls
         self.source_calls = {}
         for call, stands in lost_calls.items():
+            parts.core.context.call_table.add_ended(
+                EndedCall(call, parts.loop.now + parts.core.context.call_table.release_ms, stands)
+            )
             if stands:
                 parts.caller_port(call).release(call, interface.Outcome.RESET)
             else:
--- a/ospreyvale/routing/call_table.py
+++ b/ospreyvale/routing/call_table.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter, OrderedDict
+from dataclasses import dataclass
 
 from ospreyvale.routing import interface
 from ospreyvale.routing.exchange_table import ExchangeEntry
@@ -18,6 +19,15 @@
 IN_DOUBT = (interface.Outcome.TIMEOUT, interface.Outcome.RESET, interface.Outcome.CANCELLED)
 
 
+@dataclass(frozen=True, slots=True)
+class EndedCall:
+    """What is remembered of a call that has ended."""
+
+    call: int
+    earliest_send_at: float  # Unix milliseconds, for another attempt if it is offered again
+    has_run: bool  # an exchange has answered it: it must not be set up again
+
+
 class CallTable:
     """The calls of one instance, by id."""
 
@@ -28,15 +38,17 @@
         self.calls: dict[int, CallState] = {}
         self.unanswered = self.standing = 0
         self.standing_by_exchange = Counter[bytes]()  # by address
-        # Ended calls, with the earliest time for another attempt if they are offered again.
-        self._ended: OrderedDict[int, float] = OrderedDict()
+        self._ended: OrderedDict[int, EndedCall] = OrderedDict()  # the latest last
 
     def add(self, now: float, offer: Offer, caller: CallerPort) -> CallState | None:
-        """Adds a new call; returns None if a call of that id exists."""
-        if offer.call in self.calls:
+        """Adds a new call; returns None if a call of that id exists, or has run and ended."""
+        ended = self._ended.get(offer.call)
+        if offer.call in self.calls or (ended is not None and ended.has_run):
             return None
         state = CallState(offer, caller, now, now + offer.patience_ms)
-        state.earliest_send_at = self._ended.pop(offer.call, 0.0)
+        if ended is not None:
+            state.earliest_send_at = ended.earliest_send_at
+            del self._ended[offer.call]
         self.calls[offer.call] = state
         self.unanswered += 1
         return state
@@ -56,13 +68,16 @@
         assert state.attempt is not None
         self._count_standing(state.attempt, -1)
 
-    def ended_calls(self) -> list[int]:
+    def ended_calls(self) -> list[EndedCall]:
         """Returns the remembered ended calls, the latest last."""
-        return list(self._ended)
+        return list(self._ended.values())
 
-    def add_ended_calls(self, calls: list[int]) -> None:
-        """Remembers calls that have ended in another process."""
-        self._ended.update(dict.fromkeys(calls[-MAX_ENDED_CALLS:], 0.0))
+    def add_ended(self, ended: EndedCall) -> None:
+        """Remembers a call that has ended, here or in another process; beyond the limit the oldest go."""
+        self._ended.pop(ended.call, None)
+        self._ended[ended.call] = ended
+        if len(self._ended) > MAX_ENDED_CALLS:
+            self._ended.popitem(last=False)
 
     def may_send(self, now: float, state: CallState, entry: ExchangeEntry) -> bool:
         """Returns whether the rules allow a set-up; a violation is counted, or asserted in debug mode."""
@@ -104,7 +119,7 @@
             state.timer.cancel()
         if final is Final.STANDS:
             assert state.attempt is not None
-            state.standing = True
+            state.standing = state.has_run = True
             self._count_standing(state.attempt, 1)
         return True
 
@@ -119,9 +134,7 @@
         """Removes a call and remembers it as ended."""
         if self.calls.get(state.call) is state:
             del self.calls[state.call]
-            self._ended[state.call] = state.earliest_send_at
-            if len(self._ended) > MAX_ENDED_CALLS:
-                self._ended.popitem(last=False)
+            self.add_ended(EndedCall(state.call, state.earliest_send_at, state.has_run))
 
     def has_ended(self, call: int) -> bool:
         """Returns whether a call of that id has ended and is still remembered."""
--- a/ospreyvale/routing/core.py
+++ b/ospreyvale/routing/core.py
@@ -67,7 +67,7 @@
     # ---- the callers' side ----
 
     def offer(self, offer: Offer, caller: CallerPort) -> bool:
-        """Accepts a call; returns False if its id is in use, in which case no answer follows."""
+        """Accepts a call; returns False if its id is in use or has run, in which case no answer follows."""
         if self.other_process is not None and self.other_process.holds(offer.call):
             self.context.counters["offers_repeated"] += 1
             return False
--- a/ospreyvale/routing/stages/relay.py
+++ b/ospreyvale/routing/stages/relay.py
@@ -60,6 +60,7 @@
         state.caller.release(state.call, end.outcome)
         finish_call(context, state, end.outcome.value)
     elif over_unanswered:
+        state.has_run = True
         relay_final(context, state, Final.FAILED, interface.RefusalReason.OVER_UNANSWERED)
     context.notify_control(
         interface.Ended(
--- a/ospreyvale/routing/state.py
+++ b/ospreyvale/routing/state.py
@@ -164,6 +164,7 @@
     final: Final | None = None
     standing: bool = False
     timer: Timer | None = None  # expires at the deadline
+    has_run: bool = False  # an exchange has answered it, or ended it as a call that stood
 
     @property
     def call(self) -> int:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -75,6 +75,23 @@
     assert app.metrics()["unanswered"] == 3
 
 
+def test_an_id_that_has_run_is_not_set_up_again() -> None:
+    """Guards against a call that runs twice as its id comes again after its caller had left."""
+    player, app, one = started()
+    player.step("connect first 127.0.0.1:5070")
+    player.step("connect second 127.0.0.1:5070")
+    first, second = player.network.links["first"], player.network.links["second"]
+    receive(player, first, request("INVITE", 0xB1))
+    receive(player, one, frame_isup(ANM, 0xB1, p210=b"yes"))
+    player.step("reset first")
+    receive(player, second, request("INVITE", 0xB1))
+    assert bytes(second.sent).startswith(b"SIP/2.0 482 ")
+    receive(player, one, frame_isup(REL, 0xB1, p208=b"\x10"))
+    receive(player, second, request("INVITE", 0xB1))
+    assert bytes(second.sent).count(b"SIP/2.0 482 ") == 2
+    assert app.counters["set_ups_sent"] == 1 and app.metrics()["unanswered"] == 0
+
+
 @pytest.mark.parametrize("ending", ["reset", "closed", "half-closed"])
 def test_requests_of_a_caller_that_has_left_are_not_sent_on(tmp_path: Path, ending: str) -> None:
     """Guards against calls that are set up for nobody: unread when their caller left."""
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -232,6 +232,33 @@
     new._shut_down()
 
 
+def test_an_id_that_comes_again_at_the_new_process_does_not_run_twice(scenario: HandoverScenario) -> None:
+    """Guards against a call that runs again at the other process, or before its first attempt is released."""
+    scenario.establish_call(0xA1)
+    scenario.send_request("BYE", 0xA1)
+    for call in (0xB1, 0xB2):
+        scenario.send_request("INVITE", call)
+        scenario.wait_until(lambda call=call: (Type.IAM, call) in scenario.exchange_messages())
+    scenario.send_request("CANCEL", 0xB2)
+    scenario.wait_until(lambda: (Type.REL, 0xB2) in scenario.exchange_messages())
+    released_at = scenario.loop.now
+    new = scenario.replace_process()
+    scenario.send_request("CANCEL", 0xB1)
+    for call in (0xA1, 0xB1, 0xB2):
+        scenario.send_request("INVITE", call)
+    scenario.wait_until(lambda: (482, 0xA1) in scenario.caller_messages())
+    scenario.wait_until(lambda: scenario.exchange_messages().count((Type.IAM, 0xB2)) == 2)
+    release_ms = new.core.context.call_table.release_ms
+    assert scenario.loop.now >= released_at + release_ms
+    scenario.wait_until(lambda: scenario.exchange_messages().count((Type.IAM, 0xB1)) == 2)
+    messages = scenario.exchange_messages()
+    for call in (0xB1, 0xB2):
+        second_iam = len(messages) - 1 - messages[::-1].index((Type.IAM, call))
+        assert (Type.REL, call) in messages[:second_iam]
+    assert messages.count((Type.IAM, 0xA1)) == 1
+    new._shut_down()
+
+
 def test_without_an_old_process_or_with_a_stale_socket_the_program_starts_on_its_own(tmp_path: Path) -> None:
     stale = socket.socket(socket.AF_UNIX)
     stale.bind(str(tmp_path / "n0.handover"))
