A new exchange at the address of a former one gets the releases of calls set up before it was known

Cause: the calls of an exchange were forgotten when it left the list, though a new process at its address may have been taken for it. MAX_PENDING_RELEASES is 8,192, as these are more.

--- a/ospreyvale/exchanges/isup.py
+++ b/ospreyvale/exchanges/isup.py
@@ -12,6 +12,7 @@
 from collections import Counter
 
 from ospreyvale.exchanges.connection import ExchangeConnection
+from ospreyvale.exchanges.predecessors import Predecessors
 from ospreyvale.exchanges.releases import SetUpRelease, interpret_release, set_up_end
 from ospreyvale.exchanges.remote_exchange import RemoteExchange
 from ospreyvale.exchanges.supervision import ConnectionSupervisor
@@ -24,7 +25,7 @@
 from ospreyvale.routing.stages.relay import AttemptEnd
 from ospreyvale.routing.state import CallState, SetUpOrder
 from ospreyvale.transport.loop import Coroutine
-from ospreyvale.transport.network import Dialer, Link
+from ospreyvale.transport.network import Address, Dialer, Link
 from ospreyvale.transport.reconnecting import ReconnectingClient
 
 PROBE_TIMEOUT_MS = 250.0  # the site's value, which is not part of the settings
@@ -39,7 +40,7 @@
     "utilization": "util",
     "allowed": "qps",
 }
-MAX_PENDING_RELEASES = 1_024  # releases that wait for a connection, for one exchange
+MAX_PENDING_RELEASES = 8_192  # releases that wait for a connection, for one exchange
 CONDITION_BY_STATE = {
     eventbus.READY: interface.Condition.READY,
     eventbus.DRAINING: interface.Condition.DRAINING,
@@ -67,6 +68,7 @@
         self.counters = counters
         self.log = log
         self.remotes: dict[bytes, RemoteExchange] = {}
+        self.predecessors = Predecessors()
         self.test_numbers = itertools.count(1)
         self.supervisor = ConnectionSupervisor(
             self.loop,
@@ -106,41 +108,58 @@
                 for target, entry in zip(event.targets, entries, strict=True)
             ],
         )
+        calls_by_exchange = self.core.calls_by_exchange()
         self.core.update_exchanges(self, is_snapshot, entries)
         if is_snapshot:
             listed = {entry.address for entry in entries}
             for address in [address for address in self.remotes if address not in listed]:
-                self._remove_exchange(address)
+                self._remove_exchange(address, calls_by_exchange)
         for target, entry in zip(event.targets, entries, strict=True):
+            remote = self.remotes.get(entry.address)
             if target.state == eventbus.GONE:
-                self._remove_exchange(entry.address)
-            elif (
-                entry.address not in self.remotes
-                or self.remotes[entry.address].client.address != target.address
-            ):
-                self._remove_exchange(entry.address)
-                # When an address passes to a new exchange id, the old exchange is gone even if its removal is
-                # notified later; its connection would be dialled to the new exchange.
-                for address in [
-                    remote.address
-                    for remote in self.remotes.values()
-                    if remote.client.address == target.address
-                ]:
-                    self._remove_exchange(address)
-                self.remotes[entry.address] = RemoteExchange(
-                    entry.address,
-                    lambda remote, to=target.address: ReconnectingClient(  # type: ignore[misc]
-                        self.dialer,
-                        to,
-                        self.connect_timeout_ms,
-                        lambda link: self._serve(remote, link),
-                        lambda: self._on_dial_failed(remote),
-                    ),
-                )
+                self._remove_exchange(entry.address, calls_by_exchange)
+            elif remote is None or remote.client.address != target.address:
+                self._remove_exchange(entry.address, calls_by_exchange)
+                self._remove_exchanges_at(target.address, calls_by_exchange)
+                self._add_exchange(entry.address, target.address)
+
+    def _add_exchange(self, address: bytes, network_address: Address) -> None:
+        remote = RemoteExchange(
+            address,
+            lambda remote: ReconnectingClient(
+                self.dialer,
+                network_address,
+                self.connect_timeout_ms,
+                lambda link: self._serve(remote, link),
+                lambda: self._on_dial_failed(remote),
+            ),
+        )
+        self.remotes[address] = remote
+        for call in self.predecessors.take_calls(network_address, self.loop.now):
+            remote.pending_releases[call] = None
+
+    def _remove_exchanges_at(
+        self, network_address: Address, calls_by_exchange: dict[bytes, list[int]]
+    ) -> None:
+        """Removes the exchanges at a network address that has passed to a new exchange id.
+
+        They are gone even if their removal is notified later.
+        """
+        for remote in list(self.remotes.values()):
+            if remote.client.address == network_address:
+                self._remove_exchange(remote.address, calls_by_exchange)
+                self.core.on_exchange_reset(remote.address)
 
-    def _remove_exchange(self, address: bytes) -> None:
+    def _remove_exchange(self, address: bytes, calls_by_exchange: dict[bytes, list[int]]) -> None:
         remote = self.remotes.pop(address, None)
         if remote is not None:
+            calls = [
+                *calls_by_exchange.get(address, ()),
+                *remote.open_set_ups,
+                *remote.pending_releases,
+                *remote.unacknowledged.calls(),
+            ]
+            self.predecessors.add_calls(remote.client.address, calls, self.loop.now)
             remote.client.close()
             self._fail_queued_set_ups(remote)
             for connection in list(remote.connections):
--- a/ospreyvale/routing/core.py
+++ b/ospreyvale/routing/core.py
@@ -124,6 +124,14 @@
         state = self._find_call_with_attempt(call, address)
         return state is not None and state.standing
 
+    def calls_by_exchange(self) -> dict[bytes, list[int]]:
+        """Returns the calls with an open attempt or that stand, by the address of their exchange."""
+        calls: dict[bytes, list[int]] = {}
+        for state in self.context.call_table.calls.values():
+            if state.attempt is not None:
+                calls.setdefault(state.attempt.exchange.address, []).append(state.call)
+        return calls
+
     def on_answer(self, call: int, address: bytes, description: bytes) -> bool:
         """An exchange answered; returns False if no attempt waits for that answer any more."""
         state = self._find_call_with_attempt(call, address)
--- a/tests/test_exchange_connections.py
+++ b/tests/test_exchange_connections.py
@@ -223,7 +223,7 @@
     player = Player()
     links, remote = renewed(player, 1)
     exchanges = player.start().exchanges
-    exchanges._remove_exchange(remote.address)
+    exchanges._remove_exchange(remote.address, {})
     player.advance(30.0)
     assert links[0].closed and not exchanges.supervisor.draining
 
