--- a/lab/faults/scenario.py
+++ b/lab/faults/scenario.py
@@ -5,12 +5,12 @@
 import math
 import random
 import signal
-import socket
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 
+from lab.addresses import free_address
 from lab.faults.callers import DEADLINES_MS, Callers
 from lab.faults.discovery import BusEvent, EventBus
 from lab.faults.exchange import ExchangeStandIn
@@ -20,7 +20,7 @@
 from ospreyvale.protocol import eventbus
 from ospreyvale.protocol.eventbus import Target
 from ospreyvale.transport.loop import Coroutine, Loop
-from ospreyvale.transport.network import Address, Network
+from ospreyvale.transport.network import Network
 
 MIN_CALLS_PER_S = 12.0
 MAX_CALLS_PER_S = 30.0
@@ -48,12 +48,6 @@
     troubles: Counter[str] = field(default_factory=Counter)
 
 
-def free_address() -> Address:
-    """Returns a loopback address with a port that is free now."""
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return "127.0.0.1", sock.getsockname()[1]
-
-
 def draw_rates(source: random.Random) -> FaultRates:
     """Draws the probabilities of faults of one exchange; half of the exchanges have none."""
     if source.random() < 0.5:
--- a/tests/test_devices_program.py
+++ b/tests/test_devices_program.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from lab.addresses import free_address
 from lab.impairment import Impairment
 from lab.phone import Phone
 from lab.relay import DatagramRelay, StreamRelay
@@ -26,7 +27,7 @@
 from ospreyvale.transport.network import Network
 from tests.fake_peers import Journal, PlatformExchange, ReactionCycle, run_until
 from tests.player import CONFIG, RecordedLog, target
-from tests.test_loopback import VirtualTime, format_address, free_address
+from tests.test_loopback import VirtualTime, format_address
 
 KEY = bytes(range(32))
 CLEAN = Impairment()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from lab.addresses import free_address
 from ospreyvale.program.app import App
 from ospreyvale.protocol import handover, isup, m3ua, sip
 from ospreyvale.protocol.errors import ProtocolError
@@ -26,7 +27,7 @@
 from ospreyvale.transport.unix_socket import MAX_PATH_BYTES, Channel, connect_unix, listen_unix
 from tests.fake_peers import run_until
 from tests.player import CONFIG, SETTINGS, RecordedLog, target
-from tests.test_loopback import VirtualTime, format_address, free_address
+from tests.test_loopback import VirtualTime, format_address
 
 
 class HandoverScenario:
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 import select
-import socket
 from typing import Any
 
 import pytest
 
+from lab.addresses import free_address
 from ospreyvale.fronts.sip import SipFront
 from ospreyvale.program.app import App
 from ospreyvale.settings.config import parse_config
@@ -66,12 +66,6 @@
         return events
 
 
-def free_address() -> Address:
-    """Returns a loopback address with a free port."""
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return "127.0.0.1", sock.getsockname()[1]
-
-
 def format_address(address: Address) -> str:
     """Returns an address as host:port."""
     return f"{address[0]}:{address[1]}"
@@ -186,3 +180,9 @@
         (260.0, 1, "stands"),
     ]
     assert find_faults(journal) == ["1: two attempts out at once", "1: sent again after 246 ms"]
+
+
+def test_a_free_address_is_given_out_once() -> None:
+    """Guards against two listeners of a test on one port, as the system may name a free port twice."""
+    addresses = [free_address() for _ in range(500)]
+    assert len(set(addresses)) == len(addresses)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -22,6 +22,7 @@
 import orjson
 import pytest
 
+from lab.addresses import free_address
 from ospreyvale.operations.eventlog import EventLog
 from ospreyvale.program.app import CLOSE_DELAY_MS
 from ospreyvale.program.signals import SignalReceiver
@@ -40,7 +41,7 @@
 from ospreyvale.transport.network import MAX_QUEUED_BYTES, Connection, Link, Network
 from ospreyvale.transport.reconnecting import ReconnectingClient
 from tests.player import CONFIG, START_MS, MemoryLink, NoPoller, Player, frame_sip, target
-from tests.test_loopback import format_address, free_address
+from tests.test_loopback import format_address
 
 SITE = build_site_rules(parse_config(CONFIG))
 ROOT = Path(__file__).resolve().parent.parent
--- a/tests/test_timing_service.py
+++ b/tests/test_timing_service.py
@@ -8,6 +8,7 @@
 
 import orjson
 
+from lab.addresses import free_address
 from ospreyvale.operations.timing import TimingService
 from ospreyvale.program.app import App
 from ospreyvale.settings.config import parse_config
@@ -17,7 +18,7 @@
 from ospreyvale.transport.network import Network
 from tests.fake_peers import Journal, PlatformExchange, ReactionCycle, SipCaller, find_faults, run_until
 from tests.player import CONFIG, MemoryLink, Player, RecordedLog, target
-from tests.test_loopback import VirtualTime, format_address, free_address
+from tests.test_loopback import VirtualTime, format_address
 
 CALLS = 150
 REPLACE_INTERVAL_MS = 200.0
