Hang-ups behind the requests of a caller that has left count; releases are not kept for ever

Cause: the answer to a set-up that was read after a reset closed the connection, with the BYEs unread behind it; releases to exchanges that acknowledge none were kept up to their number only, and expiring them copied all. Change: a connection that is known to be reset is read to its end, without set-ups; releases are kept for 60 s; the end of the process waits for requests that were read and wait for their turn. Test: test_a_hang_up_behind_requests_of_a_caller_that_has_left_counts.

--- a/ospreyvale/exchanges/isup.py
+++ b/ospreyvale/exchanges/isup.py
@@ -41,6 +41,7 @@
     "allowed": "qps",
 }
 MAX_PENDING_RELEASES = 8_192  # releases that wait for a connection, for one exchange
+UNACKNOWLEDGED_MS = 60_000.0  # a release that was written so long ago is not repeated
 CONDITION_BY_STATE = {
     eventbus.READY: interface.Condition.READY,
     eventbus.DRAINING: interface.Condition.DRAINING,
@@ -369,6 +370,7 @@
         connection.link.send(isup.encode(Message(Type.REL, call, {Code.CAUSE: bytes([Cause.NORMAL])})))
         connection.last_release_at = self.loop.now
         remote.unacknowledged.add(call, Cause.NORMAL, connection, self.loop.now)
+        remote.unacknowledged.expire(self.loop.now - UNACKNOWLEDGED_MS)
 
     def _repeat_releases(self, remote: RemoteExchange, connection: ExchangeConnection) -> None:
         """Sends the releases again that may have been lost with a connection."""
@@ -491,7 +493,7 @@
         Exchanges need not acknowledge releases, but they read a connection in order.
         """
         if remote.unacknowledged and test_number == connection.last_test_number:
-            remote.unacknowledged.remove_sent_before(connection.last_test_at, connection)
+            remote.unacknowledged.confirm(connection, sent_before=connection.last_test_at)
 
     def _on_test_result(self, remote: RemoteExchange, message: Message) -> None:
         probe = remote.probes.pop(message.call, None)
--- a/ospreyvale/exchanges/unacknowledged.py
+++ b/ospreyvale/exchanges/unacknowledged.py
@@ -52,14 +52,19 @@
         """Removes a release that was acknowledged, or that must not be repeated."""
         self._by_call.pop(call, None)
 
-    def remove_sent_before(self, time: float, connection: ConnectionType | None = None) -> None:
-        """Removes the releases sent before a time, on one connection or on all."""
+    def confirm(self, connection: ConnectionType, sent_before: float) -> None:
+        """Removes the releases that were written to a connection before a time."""
         for release in list(self._by_call.values()):
-            if release.sent_at >= time:
+            if release.sent_at >= sent_before:
                 break
-            if connection is None or release.connection == connection:
+            if release.connection == connection:
                 del self._by_call[release.call]
 
+    def expire(self, sent_before: float) -> None:
+        """Removes the releases that were written before a time."""
+        while self._by_call and next(iter(self._by_call.values())).sent_at < sent_before:
+            self._by_call.popitem(last=False)
+
     def clear(self) -> None:
         """Removes all releases."""
         self._by_call.clear()
--- a/ospreyvale/fronts/sip.py
+++ b/ospreyvale/fronts/sip.py
@@ -141,8 +141,9 @@
 
     @property
     def has_partial_request(self) -> bool:
-        """Whether part of a message was received, whose rest may take up to `INCOMPLETE_TIMEOUT_MS`."""
-        return any(caller.reader.has_partial_message for caller in self.incomplete.incomplete_since)
+        """Whether bytes were received that are not handled yet: part of a message, or messages in turn."""
+        callers = (*self.idle_connections, *self.active_connections)
+        return any(caller.reader.has_partial_message for caller in callers)
 
     def close(self) -> None:
         """Ends, at the end of the process, each connection without an open set-up once its data is sent."""
@@ -417,9 +418,12 @@
 
     def _has_left(self, caller: CallerConnection, message: sip.Message) -> bool:
         """Returns whether nobody waits for the answer to a request that was read only now."""
-        if caller.link.peer_ending or caller.has_backlog:
+        link = caller.link
+        if not (link.peer_ending or caller.has_backlog):
+            return link.closed
+        if not link.peer_gone:  # what is unread of one that is gone may hold BYEs: it is read on
             self._probe(caller, sip.copy_headers(message))
-        return caller.link.closed or caller.link.peer_gone
+        return link.closed or link.peer_gone
 
     def _probe(self, caller: CallerConnection, copied_headers: bytes) -> None:
         """Finds out whether a peer still reads that has ended its sending side, or may have done so.
@@ -548,6 +552,6 @@
                 return False
             del self.pending_releases[call]
             self.unacknowledged.add(call, cause, caller, self.loop.now)
-            self.unacknowledged.remove_sent_before(self.loop.now - REPEAT_RELEASE_MS)
+            self.unacknowledged.expire(self.loop.now - REPEAT_RELEASE_MS)
             self.counters["byes_sent"] += 1
         return True
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -109,3 +109,17 @@
     assert len(sent_on) == (UNREAD_REQUESTS if ending == "half-closed" else 0)
     sock.close()
     scenario.old._shut_down()
+
+
+def test_a_hang_up_behind_requests_of_a_caller_that_has_left_counts(tmp_path: Path) -> None:
+    """Guards against a call left standing as its BYE was unread when the connection was reset."""
+    scenario = HandoverScenario(tmp_path)
+    scenario.establish_call(0xA1)
+    sock = socket.create_connection(scenario.listen_address)
+    data = b"".join(request("INVITE", 0xB000 + number) for number in range(UNREAD_REQUESTS))
+    sock.sendall(data * 4 + request("BYE", 0xA1))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+    scenario.wait_until(lambda: (REL, 0xA1) in scenario.exchange_messages())
+    assert [call for message_type, call in scenario.exchange_messages() if message_type == IAM] == [0xA1]
+    scenario.old._shut_down()
--- a/tests/test_exchange_connections.py
+++ b/tests/test_exchange_connections.py
@@ -256,9 +256,9 @@
         releases.add(call, 16, "a", float(call))
     assert len(releases) == MAX_UNACKNOWLEDGED and 0 not in releases
     releases.add(1, 16, "b", 1e6)
-    releases.remove_sent_before(1e6, "b")
+    releases.confirm("b", sent_before=1e6)
     assert 1 in releases and 2 in releases
-    releases.remove_sent_before(3.0, "a")
+    releases.expire(sent_before=3.0)
     assert 2 not in releases and 3 in releases
     assert [release.call for release in releases.take("b")] == [1]
     assert len(releases.take("a")) == MAX_UNACKNOWLEDGED - 2 and not releases
