--- a/ospreyvale/fronts/sip.py
+++ b/ospreyvale/fronts/sip.py
@@ -4,9 +4,9 @@
 
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Generator, Iterator
-from dataclasses import dataclass
 
-from ospreyvale.exchanges.unacknowledged import UnacknowledgedReleases
+from ospreyvale.fronts.caller_connection import CallerConnection, HandedOverConnection
+from ospreyvale.fronts.caller_releases import CallerReleases
 from ospreyvale.fronts.drain import Drain
 from ospreyvale.fronts.ending import EndingConnections
 from ospreyvale.fronts.incomplete import IncompleteConnections
@@ -22,7 +22,6 @@
 
 # Q.850 causes of the BYE for a call that has ended; 31 (normal, unspecified) for other outcomes.
 CAUSE_BY_OUTCOME = {interface.Outcome.OK: 16, interface.Outcome.RESET: 41}
-MAX_PENDING_RELEASES = 8_192  # releases that wait for a connection from a caller
 RESERVED_DESCRIPTORS = 50  # for the bus, the listeners, operators and the program itself
 DESCRIPTORS_PER_EXCHANGE = 2  # its connection, and a second one while that is suspect
 # Callers get the descriptors that are left, but at least the total divided by this: the limit of their
@@ -31,45 +30,10 @@
 # A partial message without new bytes for so long has stalled, as slow senders write more often.
 PARTIAL_MESSAGE_STALL_MS = 1_000.0
 DRAIN_SILENCE_MS = 500.0  # in a drain, a connection that never carried a set-up may be silent for so long
-# A release that a connection lost so long after it was sent is of no use to the caller any more.
-REPEAT_RELEASE_MS = 8_000.0
-# One that was sent so shortly before the caller ended its connection may have crossed that end.
-CROSSING_RELEASE_MS = 1_000.0
 MAX_MESSAGES_PER_TURN = 32  # from one connection, so that others wait some milliseconds at most
 MAX_CONSECUTIVE_FAULTS = 32  # a connection with so many consecutive malformed requests is closed
 
 
-@dataclass(frozen=True, slots=True)
-class HandedOverConnection:
-    """One connection from callers, with the fields of its handover frame; bytes are Latin-1 text."""
-
-    unsent: str  # bytes queued for the peer and not written yet
-    half: str  # bytes that were received and not handled: requests, and part of one
-    asked: bool  # whether it has carried a set-up
-    since: float  # Unix milliseconds since which it is silent or inside a message; 0 if it is neither
-    # Unanswered set-ups: the call, and the headers of the INVITE that responses copy.
-    open: list[tuple[int, dict[str, list[str]]]]
-    standing: list[int]  # standing calls whose set-up arrived on it
-
-
-class CallerConnection:
-    """One connection from callers."""
-
-    def __init__(self, link: Link) -> None:
-        self.link = link
-        # Unanswered set-ups, with the headers that the response copies, encoded.
-        self.open_set_ups: dict[int, bytes] = {}
-        # A provisional response was sent to find out whether the peer still reads.
-        self.was_probed = False
-        self.has_backlog = False  # the last read was full: more of what the peer has sent is unread
-        self.peer_ended = False  # the peer has closed its sending side; it may still read
-        self.handed_over = False  # another process serves it, from the bytes in the reader on
-        self.reader = sip.Reader()
-        self.last_received_at = 0.0  # Unix milliseconds
-        self.call_count = 0  # calls received on it and not ended: unanswered or standing
-        self.consecutive_faults = 0  # malformed requests since the last valid INVITE
-
-
 class SipFront:
     """Accepts set-ups from callers and answers them; a `CallerPort`."""
 
@@ -112,8 +76,7 @@
         )
         self.ending = EndingConnections[CallerConnection](loop)
         self.connection_by_call: dict[int, CallerConnection] = {}  # until the call ends
-        self.pending_releases: OrderedDict[int, int] = OrderedDict()  # cause by call, until a BYE can be sent
-        self.unacknowledged = UnacknowledgedReleases[CallerConnection]()  # BYEs sent and not answered
+        self.releases = CallerReleases(loop, node_name, counters)
 
     # ---- connections ----
 
@@ -184,8 +147,7 @@
             [*incomplete_since, *self.idle_connections, *self.active_connections, *half_closed]
         )
         self.connection_by_call.clear()
-        self.pending_releases.clear()
-        self.unacknowledged.clear()  # they are on connections that go on
+        self.releases.clear()  # those that were sent are on connections that go on
         for caller in callers:
             open_set_ups = caller.open_set_ups
             caller.open_set_ups = {}
@@ -225,7 +187,7 @@
         if handed_over.unsent:
             link.send(text_to_bytes(handed_over.unsent))
         if handed_over.asked:
-            self._send_releases(caller)
+            self.releases.send_on(caller)
         yield from self._read_messages(caller, text_to_bytes(handed_over.half))
 
     def _read_messages(self, caller: CallerConnection, unhandled: bytes = b"") -> Coroutine:
@@ -240,7 +202,9 @@
             self.counters["protocol_errors"] += 1
             self.log("protocol_error", wire="sip", why=str(error))
         self._unregister(caller)
-        self._repeat_releases(caller)
+        # A peer that ended its side after this one did has read all that was sent.
+        if self.releases.requeue_lost(caller, was_read=caller.peer_ended and caller in self.ending):
+            self._send_pending_releases([])
         self.ending.remove(caller)
         if caller.peer_ended and caller.open_set_ups:
             self._probe(caller, next(iter(caller.open_set_ups.values())))
@@ -364,7 +328,7 @@
                     self.core.give_up(message.call)
             case "BYE":
                 self.counters["byes_taken"] += 1
-                self.unacknowledged.remove(message.call)  # the BYEs of both sides have crossed
+                self.releases.acknowledge(message.call)  # the BYEs of both sides have crossed
                 is_accepted = self.core.hang_up(message.call)
                 if is_accepted:
                     self._remove_call(message.call)
@@ -374,7 +338,7 @@
             case "ACK" | "NOTIFY":
                 pass  # neither is answered
             case "" if message.cseq_method == "BYE":
-                self.unacknowledged.remove(message.call)
+                self.releases.acknowledge(message.call)
             case "":
                 pass  # a response to no request of this side
             case _:
@@ -400,7 +364,7 @@
         if caller not in self.active_connections:
             self.idle_connections.pop(caller, None)
             self.active_connections[caller] = None
-            self._send_releases(caller)
+            self.releases.send_on(caller)
         self.active_connections.move_to_end(caller)
         if self.drain.refusing:
             caller.consecutive_faults = 0
@@ -454,12 +418,10 @@
     def release(self, call: int, outcome: interface.Outcome) -> None:
         """Sends BYE for a standing call, on its own connection or else on any other from callers.
 
-        Queues it while there is none; beyond MAX_PENDING_RELEASES the oldest is dropped.
+        Queues it while there is none.
         """
         caller = self.connection_by_call.get(call)
-        self.pending_releases[call] = CAUSE_BY_OUTCOME.get(outcome, 31)
-        while len(self.pending_releases) > MAX_PENDING_RELEASES:
-            self.pending_releases.popitem(last=False)
+        self.releases.add(call, CAUSE_BY_OUTCOME.get(outcome, 31))
         candidates = [caller] if caller is not None and caller in self.active_connections else []
         self._send_pending_releases(candidates)
         self._remove_call(call)
@@ -524,34 +486,5 @@
     def _send_pending_releases(self, preferred: list[CallerConnection]) -> None:
         """Sends BYE for all queued releases on one connection, if any is open."""
         for candidate in [*preferred, *reversed(self.active_connections)]:
-            if self._send_releases(candidate):
+            if self.releases.send_on(candidate):
                 break
-
-    def _repeat_releases(self, caller: CallerConnection) -> None:
-        """Sends the releases again that may have been lost with a connection, on another one."""
-        releases = self.unacknowledged.take(caller)
-        if not releases:
-            return
-        was_read_to_the_end = caller.peer_ended and caller in self.ending
-        reach_ms = CROSSING_RELEASE_MS if caller.peer_ended else REPEAT_RELEASE_MS
-        lost = [
-            release
-            for release in releases
-            if not was_read_to_the_end and release.sent_at > self.loop.now - reach_ms
-        ]
-        self.counters["byes_repeated"] += len(lost)
-        for release in lost:
-            self.pending_releases[release.call] = release.cause
-        self._send_pending_releases([])
-
-    def _send_releases(self, caller: CallerConnection) -> bool:
-        """Sends BYE for all queued releases on this connection; returns False if it is closed."""
-        while self.pending_releases:
-            call, cause = next(iter(self.pending_releases.items()))
-            if not caller.link.send(sip.encode_bye(call, cause, self.node_name)):
-                return False
-            del self.pending_releases[call]
-            self.unacknowledged.add(call, cause, caller, self.loop.now)
-            self.unacknowledged.expire(self.loop.now - REPEAT_RELEASE_MS)
-            self.counters["byes_sent"] += 1
-        return True
--- a/ospreyvale/operations/handover.py
+++ b/ospreyvale/operations/handover.py
@@ -16,8 +16,9 @@
 
 from ospreyvale.exchanges.isup import IsupExchanges
 from ospreyvale.exchanges.m3ua import M3uaExchanges
+from ospreyvale.fronts.caller_connection import HandedOverConnection
 from ospreyvale.fronts.drain import Drain
-from ospreyvale.fronts.sip import HandedOverConnection, SipFront
+from ospreyvale.fronts.sip import SipFront
 from ospreyvale.protocol import handover
 from ospreyvale.protocol.errors import ProtocolError
 from ospreyvale.protocol.handover import bytes_to_text, encode, text_to_bytes
@@ -134,7 +135,7 @@
                 "learned",
                 over=[ended.call for ended in call_table.ended_calls()],
                 ended=[astuple(ended) for ended in call_table.ended_calls()],
-                releases=list(parts.sip.pending_releases.items()),
+                releases=list(parts.sip.releases.pending.items()),
                 unheard=parts.exchanges.pending_releases(),
                 **_encode_learned(learned),
             )
@@ -352,7 +353,7 @@
             case "learned":
                 core.control.import_learned(_decode_learned(frame))
                 self._import_ended_calls(frame)
-                parts.sip.pending_releases.update(dict(frame["releases"]))
+                parts.sip.releases.pending.update(dict(frame["releases"]))
                 parts.exchanges.import_pending_releases(frame["unheard"])
             case "unheard":
                 parts.exchanges.import_pending_releases(frame["releases"])
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from ospreyvale.fronts.sip import MAX_MESSAGES_PER_TURN, HandedOverConnection
+from ospreyvale.fronts.caller_connection import HandedOverConnection
+from ospreyvale.fronts.sip import MAX_MESSAGES_PER_TURN
 from ospreyvale.program.app import App
 from ospreyvale.protocol.handover import bytes_to_text
 from tests.fake_peers import run_until
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -211,7 +211,7 @@
         ("BYE", 0xA1),
         ("BYE", 0xA2),
     ]
-    assert not new.sip.pending_releases and new.core.control.standing == 0
+    assert not new.sip.releases.pending and new.core.control.standing == 0
     new._shut_down()
 
 
