--- a/example/toy_exchange.py
+++ b/example/toy_exchange.py
@@ -9,8 +9,9 @@
 
 from ospreyvale.protocol import isup
 from ospreyvale.protocol.isup import Code, Message, Type
+from ospreyvale.transport.connection import Link
 from ospreyvale.transport.loop import Coroutine, Loop
-from ospreyvale.transport.network import Link, Network
+from ospreyvale.transport.network import Network
 
 HOLDING_TIME_MS = 1_000.0  # duration of a call
 
--- a/lab/faults/callers.py
+++ b/lab/faults/callers.py
@@ -7,8 +7,9 @@
 
 from lab.faults.record import ObservedCall, Record
 from ospreyvale.protocol import sip
+from ospreyvale.transport.connection import Link
 from ospreyvale.transport.loop import Coroutine
-from ospreyvale.transport.network import Address, Link, Network
+from ospreyvale.transport.network import Address, Network
 
 CONNECT_TIMEOUT_MS = 300.0
 CONNECTIONS = 4  # that calls are spread over; a closed one is opened again at its next call
--- a/lab/faults/discovery.py
+++ b/lab/faults/discovery.py
@@ -8,8 +8,9 @@
 from dataclasses import dataclass
 
 from ospreyvale.protocol.eventbus import FrameKind, Target
+from ospreyvale.transport.connection import Link
 from ospreyvale.transport.loop import Coroutine
-from ospreyvale.transport.network import Address, Link, ListeningSocket, Network
+from ospreyvale.transport.network import Address, ListeningSocket, Network
 
 HEARTBEAT_INTERVAL_MS = 1_000.0
 SUBSCRIPTION_BYTES = 8
--- a/lab/faults/exchange.py
+++ b/lab/faults/exchange.py
@@ -10,8 +10,9 @@
 from lab.faults.record import Attempt, Record
 from ospreyvale.protocol import isup
 from ospreyvale.protocol.isup import Cause, Code, Message, Type
+from ospreyvale.transport.connection import Connection, Link
 from ospreyvale.transport.loop import Coroutine
-from ospreyvale.transport.network import Address, Connection, Link, ListeningSocket, Network
+from ospreyvale.transport.network import Address, ListeningSocket, Network
 
 CIRCUITS = 40
 MIN_RESPONSE_MS = 4.0
--- a/lab/faults/line.py
+++ b/lab/faults/line.py
@@ -9,8 +9,8 @@
 from enum import Enum
 
 from ospreyvale.protocol.isup import Message, encode
+from ospreyvale.transport.connection import Link
 from ospreyvale.transport.loop import Loop
-from ospreyvale.transport.network import Link
 
 SPOILT_MESSAGE = b"\xff\xff\x09"  # its length is over the limit
 MAX_REPEAT_DELAY_MS = 12.0  # of the second copy of an answer
--- a/lab/faults/path.py
+++ b/lab/faults/path.py
@@ -5,8 +5,8 @@
 import socket
 from collections.abc import Generator
 
+from ospreyvale.transport.connection import Connection
 from ospreyvale.transport.loop import Coroutine, Loop, Signal
-from ospreyvale.transport.network import Connection
 
 
 class DelayedLink:
--- a/lab/faults/slow_dial.py
+++ b/lab/faults/slow_dial.py
@@ -12,8 +12,9 @@
 from collections.abc import Generator
 
 from ospreyvale.program.app import main
+from ospreyvale.transport.connection import Link
 from ospreyvale.transport.loop import Signal
-from ospreyvale.transport.network import Address, Link, Network
+from ospreyvale.transport.network import Address, Network
 
 SLOW_SHARE = 0.33  # of the dials
 MAX_DELAY_MS = 600.0
--- a/lab/relay.py
+++ b/lab/relay.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable
 
 from lab.impairment import ImpairedLink, Impairment
+from ospreyvale.transport.connection import Link as Connection
 from ospreyvale.transport.loop import Coroutine
 from ospreyvale.transport.network import Address, DatagramSocket, Network
-from ospreyvale.transport.network import Link as Connection
 
 RETRANSMIT_MS = 200.0  # first retransmission time-out of a packet that a connection lost
 
--- a/ospreyvale/exchanges/association.py
+++ b/ospreyvale/exchanges/association.py
@@ -8,7 +8,7 @@
 from ospreyvale.protocol import m3ua
 from ospreyvale.protocol.errors import ProtocolError
 from ospreyvale.protocol.m3ua import Kind, Message, Tag
-from ospreyvale.transport.network import Link
+from ospreyvale.transport.connection import Link
 
 
 class AspState(Enum):
--- a/ospreyvale/exchanges/connection.py
+++ b/ospreyvale/exchanges/connection.py
@@ -9,7 +9,7 @@
 
 from ospreyvale.protocol import isup
 from ospreyvale.protocol.isup import Code, Message, Type
-from ospreyvale.transport.network import Link
+from ospreyvale.transport.connection import Link
 
 # An exchange reports its circuit group within 3 ms of receiving a set-up, whatever the load of its processor.
 # A connection on which nothing is received for so long after a set-up is suspect.
--- a/ospreyvale/exchanges/discovery.py
+++ b/ospreyvale/exchanges/discovery.py
@@ -7,8 +7,9 @@
 from ospreyvale.protocol import eventbus
 from ospreyvale.protocol.errors import ProtocolError
 from ospreyvale.routing.context import Log
+from ospreyvale.transport.connection import Link
 from ospreyvale.transport.loop import Coroutine
-from ospreyvale.transport.network import Address, Dialer, Link
+from ospreyvale.transport.network import Address, Dialer
 from ospreyvale.transport.reconnecting import ReconnectingClient
 
 # The bus sends a heartbeat frame each second.  An event counts as delivered 4 s after the bus fell silent, or
--- a/ospreyvale/exchanges/isup.py
+++ b/ospreyvale/exchanges/isup.py
@@ -24,8 +24,9 @@
 from ospreyvale.routing.core import Core
 from ospreyvale.routing.stages.relay import AttemptEnd
 from ospreyvale.routing.state import CallState, SetUpOrder
+from ospreyvale.transport.connection import Link
 from ospreyvale.transport.loop import Coroutine
-from ospreyvale.transport.network import Address, Dialer, Link
+from ospreyvale.transport.network import Address, Dialer
 from ospreyvale.transport.reconnecting import ReconnectingClient
 
 PROBE_TIMEOUT_MS = 250.0  # the site's value, which is not part of the settings
--- a/ospreyvale/exchanges/m3ua.py
+++ b/ospreyvale/exchanges/m3ua.py
@@ -17,8 +17,9 @@
 from ospreyvale.routing.stages.relay import AttemptEnd
 from ospreyvale.routing.state import SetUpOrder
 from ospreyvale.settings.edge import M3uaConfig, M3uaExchange
+from ospreyvale.transport.connection import Link
 from ospreyvale.transport.loop import Coroutine
-from ospreyvale.transport.network import Dialer, Link
+from ospreyvale.transport.network import Dialer
 from ospreyvale.transport.reconnecting import ReconnectingClient
 
 MAX_UNANSWERED_BEATS = 3  # consecutive ones, after which a connection is dead
--- a/ospreyvale/fronts/caller_connection.py
+++ b/ospreyvale/fronts/caller_connection.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from ospreyvale.protocol import sip
-from ospreyvale.transport.network import Link
+from ospreyvale.transport.connection import Link
 
 
 @dataclass(frozen=True, slots=True)
--- a/ospreyvale/fronts/devices.py
+++ b/ospreyvale/fronts/devices.py
@@ -21,8 +21,9 @@
 from ospreyvale.routing.context import Log
 from ospreyvale.routing.core import Core
 from ospreyvale.settings.devices import DevicesConfig
+from ospreyvale.transport.connection import Link
 from ospreyvale.transport.loop import Coroutine, Loop
-from ospreyvale.transport.network import Address, DatagramSocket, Link
+from ospreyvale.transport.network import Address, DatagramSocket
 
 MAX_STREAMS = 256  # connections of devices; beyond it the one silent for longest is closed
 STREAM_SILENCE_TIMEOUT_MS = 150_000.0  # a device sends a keep-alive every 120 s
--- a/ospreyvale/fronts/http.py
+++ b/ospreyvale/fronts/http.py
@@ -10,8 +10,9 @@
 import h11
 
 from ospreyvale.protocol.errors import MAX_MESSAGE_BYTES, ProtocolError
+from ospreyvale.transport.connection import Link
 from ospreyvale.transport.loop import Coroutine, Signal
-from ospreyvale.transport.network import Dialer, Link
+from ospreyvale.transport.network import Dialer
 
 REQUEST_TIMEOUT_MS = 2_000.0  # of one request, as server or as client
 MAX_INCOMPLETE_CONNECTIONS = 12  # connections without a complete request
--- a/ospreyvale/fronts/incomplete.py
+++ b/ospreyvale/fronts/incomplete.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import Generic, Protocol, TypeVar
 
+from ospreyvale.transport.connection import Link
 from ospreyvale.transport.loop import Loop
-from ospreyvale.transport.network import Link
 
 # Callers on poor links take up to 2 s to send a set-up, and connections that never complete a message have to
 # be closed within 3 s.
--- a/ospreyvale/fronts/m3ua.py
+++ b/ospreyvale/fronts/m3ua.py
@@ -21,8 +21,8 @@
 from ospreyvale.routing.core import Core
 from ospreyvale.routing.state import Offer
 from ospreyvale.settings.edge import M3uaConfig
+from ospreyvale.transport.connection import Link
 from ospreyvale.transport.loop import Coroutine, Loop
-from ospreyvale.transport.network import Link
 
 # Timers of Q.764.  REL is repeated every T1 until RLC arrives; after T5 it is no longer repeated and the
 # circuit is treated as idle.
--- a/ospreyvale/fronts/sip.py
+++ b/ospreyvale/fronts/sip.py
@@ -17,8 +17,8 @@
 from ospreyvale.routing import interface
 from ospreyvale.routing.context import Log
 from ospreyvale.routing.core import Core
+from ospreyvale.transport.connection import RECEIVE_BYTES, Link
 from ospreyvale.transport.loop import Coroutine, Loop, Signal
-from ospreyvale.transport.network import RECEIVE_BYTES, Link
 
 # Q.850 causes of the BYE for a call that has ended; 31 (normal, unspecified) for other outcomes.
 CAUSE_BY_OUTCOME = {interface.Outcome.OK: 16, interface.Outcome.RESET: 41}
--- a/ospreyvale/operations/handover.py
+++ b/ospreyvale/operations/handover.py
@@ -11,7 +11,7 @@
 
 import os
 from collections.abc import Callable
-from dataclasses import asdict, astuple, dataclass
+from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING, Any, Protocol
 
 from ospreyvale.exchanges.isup import IsupExchanges
@@ -19,16 +19,24 @@
 from ospreyvale.fronts.caller_connection import HandedOverConnection
 from ospreyvale.fronts.drain import Drain
 from ospreyvale.fronts.sip import SipFront
+from ospreyvale.operations.handover_frames import (
+    decode_ended_calls,
+    decode_learned,
+    encode_call,
+    encode_ended_calls,
+    encode_learned,
+)
 from ospreyvale.protocol import handover
 from ospreyvale.protocol.errors import ProtocolError
 from ospreyvale.protocol.handover import bytes_to_text, encode, text_to_bytes
 from ospreyvale.routing import interface
-from ospreyvale.routing.call_table import MAX_ENDED_CALLS, EndedCall
+from ospreyvale.routing.call_table import EndedCall
 from ospreyvale.routing.context import Log
 from ospreyvale.routing.core import Core
-from ospreyvale.routing.state import CallerPort, CallState, Offer
+from ospreyvale.routing.state import CallerPort, Offer
+from ospreyvale.transport.connection import Link
 from ospreyvale.transport.loop import Coroutine, Loop
-from ospreyvale.transport.network import Address, Link, ListeningSocket
+from ospreyvale.transport.network import Address, ListeningSocket
 from ospreyvale.transport.unix_socket import Channel
 
 if TYPE_CHECKING:
@@ -134,10 +142,10 @@
             encode(
                 "learned",
                 over=[ended.call for ended in call_table.ended_calls()],
-                ended=[astuple(ended) for ended in call_table.ended_calls()],
+                ended=encode_ended_calls(call_table.ended_calls()),
                 releases=list(parts.sip.releases.pending.items()),
                 unheard=parts.exchanges.pending_releases(),
-                **_encode_learned(learned),
+                **encode_learned(learned),
             )
         )
         if parts.m3ua_exchanges is not None:
@@ -155,7 +163,7 @@
             if state.caller not in ports:
                 continue
             if state.standing and parts.exchanges.owns_call(state):
-                channel.send(encode("call", **_encode_call(state)))
+                channel.send(encode("call", **encode_call(state)))
                 call_table.remove_handed_over(state)
             else:
                 state.caller = forwarding_port
@@ -235,7 +243,7 @@
         state = parts.core.context.call_table.calls[call]
         moves = parts.exchanges.owns_call(state)
         self.channel.send(
-            encode("answer", description=bytes_to_text(description), moves=moves, **_encode_call(state))
+            encode("answer", description=bytes_to_text(description), moves=moves, **encode_call(state))
         )
         if moves:
             parts.core.context.call_table.remove_handed_over(state)
@@ -331,10 +339,8 @@
 
     def _import_ended_calls(self, frame: dict[str, Any]) -> None:
         """Remembers the calls that have ended in the old process."""
-        # Releases before this one send the ids alone.
-        ended_calls = frame.get("ended", [(call, 0.0, False) for call in frame["over"]])
-        for call, earliest_send_at, has_run in ended_calls[-MAX_ENDED_CALLS:]:
-            self.parts.core.context.call_table.add_ended(EndedCall(call, earliest_send_at, has_run))
+        for ended in decode_ended_calls(frame):
+            self.parts.core.context.call_table.add_ended(ended)
 
     # ---- frames from the old process ----
 
@@ -351,7 +357,7 @@
             case "device" if parts.devices is not None:
                 parts.devices.create_state_importer().import_record(frame["plain"])
             case "learned":
-                core.control.import_learned(_decode_learned(frame))
+                core.control.import_learned(decode_learned(frame))
                 self._import_ended_calls(frame)
                 parts.sip.releases.pending.update(dict(frame["releases"]))
                 parts.exchanges.import_pending_releases(frame["unheard"])
@@ -498,75 +504,3 @@
 
     def fail(self, call: int) -> None:
         """Does nothing; see `answer`."""
-
-
-# ---- frames ----
-
-
-def _encode_call(state: CallState) -> dict[str, Any]:
-    """Encodes a standing call without the session description of its offer."""
-    attempt = state.attempt
-    assert attempt is not None
-    offer = asdict(state.offer)
-    del offer["description"]
-    return {
-        "offer": offer,
-        "exchange": bytes_to_text(attempt.exchange.address),
-        "number": attempt.number,
-        "sent_at": attempt.sent_at,
-    }
-
-
-def _encode_learned(learned: interface.LearnedState) -> dict[str, Any]:
-    """Encodes learned values for JSON, which has neither infinity nor bytes.
-
-    Floats are sent as their repr.
-    """
-    own_rates = learned.learned_rate, learned.set_up_rate, learned.peak_carried_rate, learned.carried_rate
-    return {
-        "lagged": learned.own_lagging,
-        "own": [repr(value) for value in own_rates],
-        "far": [
-            [
-                remote.number,
-                bytes_to_text(remote.address),
-                remote.sample_count,
-                list(remote.held),
-                *(
-                    repr(value)
-                    for value in (
-                        remote.started_at,
-                        remote.delay_ms,
-                        remote.measured_at,
-                        remote.min_delay_ms,
-                        *remote.recent_set_ups,
-                    )
-                ),
-            ]
-            for remote in learned.exchanges
-        ],
-    }
-
-
-def _decode_learned(frame: dict[str, Any]) -> interface.LearnedState:
-    """Decodes what `_encode_learned` has encoded."""
-    exchanges = []
-    for number, address, sample_count, held, *values in frame["far"]:
-        started_at, delay_ms, measured_at, min_delay_ms, *recent_set_ups = (float(value) for value in values)
-        exchanges.append(
-            interface.LearnedExchange(
-                number,
-                text_to_bytes(address),
-                started_at,
-                delay_ms,
-                measured_at,
-                min_delay_ms,
-                sample_count,
-                tuple(held),
-                tuple(recent_set_ups),
-            )
-        )
-    learned_rate, set_up_rate, peak_carried_rate, carried_rate = (float(value) for value in frame["own"])
-    return interface.LearnedState(
-        learned_rate, set_up_rate, peak_carried_rate, carried_rate, frame["lagged"], tuple(exchanges)
-    )
--- a/ospreyvale/operations/otlp.py
+++ b/ospreyvale/operations/otlp.py
@@ -14,8 +14,9 @@
 from ospreyvale.protocol.errors import MAX_MESSAGE_BYTES, ProtocolError
 from ospreyvale.routing.context import Log
 from ospreyvale.settings.edge import OtlpConfig
+from ospreyvale.transport.connection import Link
 from ospreyvale.transport.loop import Coroutine, Signal
-from ospreyvale.transport.network import Address, Dialer, Link
+from ospreyvale.transport.network import Address, Dialer
 
 MetricsReader = Callable[[], Mapping[str, int]]
 
--- a/ospreyvale/program/app.py
+++ b/ospreyvale/program/app.py
@@ -34,8 +34,9 @@
 from ospreyvale.settings.edge import EdgeConfig, read_edge_config
 from ospreyvale.settings.timing import build_site_rules
 from ospreyvale.timing.policy import SiteRules
+from ospreyvale.transport.connection import Link
 from ospreyvale.transport.loop import Coroutine, Loop
-from ospreyvale.transport.network import Address, DatagramSocket, Dialer, Link, ListeningSocket, Network
+from ospreyvale.transport.network import Address, DatagramSocket, Dialer, ListeningSocket, Network
 from ospreyvale.transport.unix_socket import connect_unix, listen_unix
 
 if TYPE_CHECKING:
--- a/ospreyvale/transport/reconnecting.py
+++ b/ospreyvale/transport/reconnecting.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Callable
 
+from ospreyvale.transport.connection import Link
 from ospreyvale.transport.loop import Coroutine, Signal
-from ospreyvale.transport.network import Address, Dialer, Link
+from ospreyvale.transport.network import Address, Dialer
 
 MIN_RETRY_DELAY_MS = 100.0
 MAX_RETRY_DELAY_MS = 1_000.0
--- a/tests/fake_peers.py
+++ b/tests/fake_peers.py
@@ -11,8 +11,9 @@
 
 from ospreyvale.protocol import isup, m3ua, sip
 from ospreyvale.protocol.m3ua import IsupMessage, IsupType, Kind, RoutingLabel
+from ospreyvale.transport.connection import Link
 from ospreyvale.transport.loop import Coroutine, Loop
-from ospreyvale.transport.network import Address, Link, Network
+from ospreyvale.transport.network import Address, Network
 
 RELEASE_MS = 300.0  # shortest time from an attempt that ended in doubt to the next of the same call
 HOLDING_TIME_MS = 400.0
--- a/tests/player.py
+++ b/tests/player.py
@@ -38,8 +38,9 @@
 from ospreyvale.settings.config import parse_config
 from ospreyvale.settings.edge import parse_edge_config
 from ospreyvale.settings.timing import build_site_rules
+from ospreyvale.transport.connection import Link
 from ospreyvale.transport.loop import Coroutine, Loop, Signal
-from ospreyvale.transport.network import Address, DatagramSocket, Link, ListeningSocket
+from ospreyvale.transport.network import Address, DatagramSocket, ListeningSocket
 
 START_MS = 1_000_000.0
 DIAL_MS = 1.0
--- a/tests/test_exchange_connections.py
+++ b/tests/test_exchange_connections.py
@@ -18,8 +18,9 @@
 from ospreyvale.exchanges.remote_exchange import RemoteExchange
 from ospreyvale.exchanges.supervision import MAX_DRAINING_CONNECTIONS, MIN_DRAIN_MS
 from ospreyvale.exchanges.unacknowledged import MAX_UNACKNOWLEDGED, UnacknowledgedReleases
+from ospreyvale.transport.connection import Connection, Link
 from ospreyvale.transport.loop import Coroutine, Loop
-from ospreyvale.transport.network import Connection, Link, Network
+from ospreyvale.transport.network import Network
 from tests.player import MemoryLink, Player
 
 EXCHANGE_ADDRESS = ("127.1.0.1", 5070)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,6 +10,7 @@
 import pytest
 
 from lab.addresses import free_address
+from ospreyvale.operations.handover_frames import decode_ended_calls, encode_ended_calls
 from ospreyvale.program.app import App
 from ospreyvale.protocol import handover, isup, m3ua, sip
 from ospreyvale.protocol.errors import ProtocolError
@@ -17,13 +18,15 @@
 from ospreyvale.protocol.isup import Code, Message, Type
 from ospreyvale.protocol.m3ua import IsupMessage, IsupType, Kind, RoutingLabel
 from ospreyvale.routing import interface
+from ospreyvale.routing.call_table import EndedCall
 from ospreyvale.routing.control import Control
 from ospreyvale.routing.settings import Params, build_settings
 from ospreyvale.settings.config import parse_config
 from ospreyvale.settings.edge import parse_edge_config
 from ospreyvale.settings.timing import build_site_rules
+from ospreyvale.transport.connection import Link
 from ospreyvale.transport.loop import Coroutine, Loop
-from ospreyvale.transport.network import Address, Link, Network
+from ospreyvale.transport.network import Address, Network
 from ospreyvale.transport.unix_socket import MAX_PATH_BYTES, Channel, connect_unix, listen_unix
 from tests.fake_peers import run_until
 from tests.player import CONFIG, SETTINGS, RecordedLog, target
@@ -489,3 +492,10 @@
     scenario.wait_until(lambda: ("BYE", 0xA2) in scenario.caller_messages())
     scenario.wait_until(lambda: 2 in m3ua_exchange.received_cics(IsupType.REL))
     new._shut_down()
+
+
+def test_ended_calls_of_a_former_release_are_remembered_by_their_ids() -> None:
+    """Guards against an upgrade that fails because the old process sends ids alone."""
+    assert decode_ended_calls({"over": [1, 2]}) == [EndedCall(1, 0.0, False), EndedCall(2, 0.0, False)]
+    ended = EndedCall(3, 5.0, True)
+    assert decode_ended_calls({"over": [3], "ended": encode_ended_calls([ended])}) == [ended]
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -10,14 +10,14 @@
 
 from ospreyvale.protocol import sip
 from ospreyvale.protocol.errors import MAX_MESSAGE_BYTES
-from ospreyvale.transport.loop import Loop
-from ospreyvale.transport.network import (
+from ospreyvale.transport.connection import (
     MAX_QUEUED_BYTES,
     MAX_QUEUED_BYTES_IF_FULL,
     MAX_TOTAL_QUEUED_BYTES,
     Connection,
     WriteQueueTotal,
 )
+from ospreyvale.transport.loop import Loop
 from tests.player import Player, frame_isup
 
 CLIENTS = 40
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -37,8 +37,9 @@
 from ospreyvale.settings.document import DocumentError
 from ospreyvale.settings.edge import parse_edge_config, read_edge_config
 from ospreyvale.settings.timing import build_site_rules
+from ospreyvale.transport.connection import MAX_QUEUED_BYTES, Connection, Link
 from ospreyvale.transport.loop import Loop
-from ospreyvale.transport.network import MAX_QUEUED_BYTES, Connection, Link, Network
+from ospreyvale.transport.network import Network
 from ospreyvale.transport.reconnecting import ReconnectingClient
 from tests.player import CONFIG, START_MS, MemoryLink, NoPoller, Player, frame_sip, target
 from tests.test_loopback import format_address
