M3UA peers and devices on TCP give way to others after 32 messages too

Change: Association.feed handles a message at each step; both fronts call Loop.yield_turn after 32. Test: test_an_m3ua_peer_at_full_speed_leaves_turns_to_others, which failed on the code before.

--- a/ospreyvale/exchanges/association.py
+++ b/ospreyvale/exchanges/association.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from enum import Enum
 
 from ospreyvale.protocol import m3ua
@@ -40,23 +40,27 @@
         """Sends an ISUP message; returns False when the ASP is not active or the connection is closed."""
         return self.active and self.link.send(m3ua.encode_data(routing_label, message))
 
-    def feed(self, data: bytes) -> None:
-        """Handles received bytes.
+    def feed(self, data: bytes) -> Iterator[None]:
+        """Handles received bytes, one message at each step.
 
         Raises ProtocolError on a framing error; the caller then closes the connection.
         """
         for message in self.reader.feed(data):
-            self.message_count += 1
-            if message.kind == Kind.BEAT:
-                self.link.send(m3ua.encode(Kind.BEAT_ACK, *message.parameters))
-            elif message.kind == Kind.DATA and self.state is not AspState.ACTIVE:
-                # No traffic is accepted before ASPAC: the sender gets ERR, and no call is set up.
-                self.unexpected_data_count += 1
-                self.link.send(m3ua.encode_error(m3ua.ErrorCode.UNEXPECTED_MESSAGE))
-            elif message.kind == Kind.DATA:
-                self._handle_data(message)
-            else:
-                self._handle_management(message)
+            self._handle_message(message)
+            yield
+
+    def _handle_message(self, message: Message) -> None:
+        self.message_count += 1
+        if message.kind == Kind.BEAT:
+            self.link.send(m3ua.encode(Kind.BEAT_ACK, *message.parameters))
+        elif message.kind == Kind.DATA and self.state is not AspState.ACTIVE:
+            # No traffic is accepted before ASPAC: the sender gets ERR, and no call is set up.
+            self.unexpected_data_count += 1
+            self.link.send(m3ua.encode_error(m3ua.ErrorCode.UNEXPECTED_MESSAGE))
+        elif message.kind == Kind.DATA:
+            self._handle_data(message)
+        else:
+            self._handle_management(message)
 
     def _handle_data(self, message: Message) -> None:
         """Handles DATA; a malformed field rejects this message only, as the framing is still intact."""
--- a/ospreyvale/exchanges/m3ua.py
+++ b/ospreyvale/exchanges/m3ua.py
@@ -155,7 +155,8 @@
             if remote.association is association:
                 remote.unanswered_beats = 0
             try:
-                association.feed(data)
+                for _ in association.feed(data):
+                    pass
             except ProtocolError as error:
                 self.counters["protocol_errors"] += 1
                 self.log("protocol_error", wire="m3ua", why=str(error))
--- a/ospreyvale/fronts/devices.py
+++ b/ospreyvale/fronts/devices.py
@@ -22,7 +22,7 @@
 from ospreyvale.routing.core import Core
 from ospreyvale.settings.devices import DevicesConfig
 from ospreyvale.transport.connection import Link
-from ospreyvale.transport.loop import Coroutine, Loop
+from ospreyvale.transport.loop import MAX_MESSAGES_PER_TURN, Coroutine, Loop
 from ospreyvale.transport.network import Address, DatagramSocket
 
 MAX_STREAMS = 256  # connections of devices; beyond it the one silent for longest is closed
@@ -157,7 +157,9 @@
         while data := (yield from link.receive()):
             self.streams[number] = link, self.loop.now
             try:
-                for message in reader.feed(data):
+                for count, message in enumerate(reader.feed(data), 1):
+                    if count % MAX_MESSAGES_PER_TURN == 0:
+                        yield from self.loop.yield_turn()
                     transport.receive_message(("tcp", number), message, len(data))
             except ProtocolError:
                 self.counters["device_malformed"] += 1
--- a/ospreyvale/fronts/m3ua.py
+++ b/ospreyvale/fronts/m3ua.py
@@ -22,7 +22,7 @@
 from ospreyvale.routing.state import Offer
 from ospreyvale.settings.edge import M3uaConfig
 from ospreyvale.transport.connection import Link
-from ospreyvale.transport.loop import Coroutine, Loop
+from ospreyvale.transport.loop import MAX_MESSAGES_PER_TURN, Coroutine, Loop
 
 # Timers of Q.764.  REL is repeated every T1 until RLC arrives; after T5 it is no longer repeated and the
 # circuit is treated as idle.
@@ -86,7 +86,9 @@
         while data := (yield from link.receive()):
             handled_before = association.message_count
             try:
-                association.feed(data)
+                for number, _ in enumerate(association.feed(data), 1):
+                    if number % MAX_MESSAGES_PER_TURN == 0:
+                        yield from self.loop.yield_turn()
             except ProtocolError as error:
                 self.counters["protocol_errors"] += 1
                 self.log("protocol_error", wire="m3ua", why=str(error))
--- a/ospreyvale/fronts/sip.py
+++ b/ospreyvale/fronts/sip.py
@@ -18,7 +18,7 @@
 from ospreyvale.routing.context import Log
 from ospreyvale.routing.core import Core
 from ospreyvale.transport.connection import RECEIVE_BYTES, Link
-from ospreyvale.transport.loop import Coroutine, Loop, Signal
+from ospreyvale.transport.loop import MAX_MESSAGES_PER_TURN, Coroutine, Loop, Signal
 
 # Q.850 causes of the BYE for a call that has ended; 31 (normal, unspecified) for other outcomes.
 CAUSE_BY_OUTCOME = {interface.Outcome.OK: 16, interface.Outcome.RESET: 41}
@@ -30,7 +30,6 @@
 # A partial message without new bytes for so long has stalled, as slow senders write more often.
 PARTIAL_MESSAGE_STALL_MS = 1_000.0
 DRAIN_SILENCE_MS = 500.0  # in a drain, a connection that never carried a set-up may be silent for so long
-MAX_MESSAGES_PER_TURN = 32  # from one connection, so that others wait some milliseconds at most
 MAX_CONSECUTIVE_FAULTS = 32  # a connection with so many consecutive malformed requests is closed
 
 
--- a/ospreyvale/transport/loop.py
+++ b/ospreyvale/transport/loop.py
@@ -19,6 +19,8 @@
 READ = select.EPOLLIN
 WRITE = select.EPOLLOUT
 PEER_ENDED = select.EPOLLRDHUP  # the peer has ended its sending side; data before that may be unread
+# Messages of one connection that its owner handles before it yields: others wait some milliseconds at most.
+MAX_MESSAGES_PER_TURN = 32
 MAX_POLL_MS = 1_000.0  # longest wait for events, also while no timer is due
 
 
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -9,14 +9,15 @@
 import pytest
 
 from ospreyvale.fronts.caller_connection import HandedOverConnection
-from ospreyvale.fronts.sip import MAX_MESSAGES_PER_TURN
 from ospreyvale.program.app import App
 from ospreyvale.protocol.handover import bytes_to_text
+from ospreyvale.transport.loop import MAX_MESSAGES_PER_TURN
 from tests.fake_peers import run_until
-from tests.player import MemoryLink, Player, frame_isup, frame_sip
+from tests.player import MemoryLink, Player, frame_isup, frame_m3ua, frame_sip
 from tests.test_handover import HandoverScenario
 
 IAM, ANM, REL = 1, 9, 12
+ASPUP, ASPUP_ACK = 0x0301, 0x0304  # class and type
 FLOOD = 1_000
 UNREAD_REQUESTS = 30  # fewer than the circuits of the exchange
 
@@ -61,6 +62,21 @@
     assert bytes(flood.sent).count(b"SIP/2.0 200 OK") == FLOOD
 
 
+def test_an_m3ua_peer_at_full_speed_leaves_turns_to_others() -> None:
+    """Guards against the same on the M3UA front."""
+    player = Player('m3ua listen="127.0.0.1:2905" point-code=1')
+    player.start()
+    player.step("connect flood 127.0.0.1:2905")
+    flood = player.network.links["flood"]
+    flood.inbox += frame_m3ua(ASPUP) * FLOOD
+    player.loop.fire(flood.readable)
+    player.loop.turn()
+    assert bytes(flood.sent).count(frame_m3ua(ASPUP_ACK)) == MAX_MESSAGES_PER_TURN
+    for _ in range(FLOOD // MAX_MESSAGES_PER_TURN):
+        player.loop.turn()
+    assert bytes(flood.sent).count(frame_m3ua(ASPUP_ACK)) == FLOOD
+
+
 def test_requests_that_wait_for_their_turn_are_served_after_a_handover() -> None:
     """Guards against requests that are lost because the former process had read and not handled them."""
     player, app, _ = started()
